--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/config/Zone.java
@@ -0,0 +1,35 @@
+package org.fescueloom.config;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Describes an availability zone.
+ *
+ * @param name the name, not null
+ * @param region the region that the zone belongs to; null counts as "default"
+ * @param state whether the zone is in service; null counts as in
+ * @param racks the names of its racks; null counts as none
+ */
+public record Zone(String name, String region, ZoneState state, List<String> racks) {
+    /** The region of a zone that names none. */
+    public static final String DEFAULT_REGION = "default";
+
+    /** Checks that the name is given and fills in what may be left out. */
+    public Zone {
+        Objects.requireNonNull(name, "name");
+        region = region == null ? DEFAULT_REGION : region;
+        state = state == null ? ZoneState.IN : state;
+        racks = racks == null ? List.of() : List.copyOf(racks);
+    }
+
+    /**
+     * Returns this zone with another state.
+     *
+     * @param newState the state, not null
+     * @return the zone, never null
+     */
+    public Zone withState(ZoneState newState) {
+        return new Zone(name, region, newState, racks);
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/failure/FailureBody.java
@@ -0,0 +1,30 @@
+package org.fescueloom.failure;
+
+import java.util.Objects;
+
+/**
+ * Carries a failure as the JSON body of an HTTP answer.
+ *
+ * @param error the type, not null
+ * @param outcome what became of the request, not null
+ * @param detail a sentence for a person, not null
+ */
+public record FailureBody(FailureType error, Outcome outcome, String detail) {
+    /** Checks that no component is null. */
+    public FailureBody {
+        Objects.requireNonNull(error, "error");
+        Objects.requireNonNull(outcome, "outcome");
+        Objects.requireNonNull(detail, "detail");
+    }
+
+    /**
+     * Creates the body that reports a failure.
+     *
+     * @param failure the failure, not null
+     * @return the body, never null
+     */
+    public static FailureBody of(SchedulerException failure) {
+        return new FailureBody(
+                failure.type(), failure.type().outcome(), String.valueOf(failure.getMessage()));
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/failure/SchedulerException.java
@@ -0,0 +1,69 @@
+package org.fescueloom.failure;
+
+import java.util.Objects;
+
+/** Reports a failure of a known type; futures complete exceptionally with it. */
+public class SchedulerException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final FailureType type;
+    private final long retryAfterMillis;
+
+    /**
+     * Creates a failure without a hint when to come back.
+     *
+     * @param type the type, not null
+     * @param detail a sentence for a person, not null
+     */
+    public SchedulerException(FailureType type, String detail) {
+        this(type, detail, 0L, null);
+    }
+
+    /**
+     * Creates a failure with a hint when to come back.
+     *
+     * @param type the type, not null
+     * @param detail a sentence for a person, not null
+     * @param retryAfterMillis the time after which a retry may succeed, in milliseconds; 0 for none
+     */
+    public SchedulerException(FailureType type, String detail, long retryAfterMillis) {
+        this(type, detail, retryAfterMillis, null);
+    }
+
+    /**
+     * Creates a failure with its cause.
+     *
+     * @param type the type, not null
+     * @param detail a sentence for a person, not null
+     * @param retryAfterMillis the time after which a retry may succeed, in milliseconds; 0 for none
+     * @param cause the cause, may be null
+     * @throws IllegalArgumentException if {@code retryAfterMillis} is negative
+     */
+    public SchedulerException(
+            FailureType type, String detail, long retryAfterMillis, Throwable cause) {
+        super(Objects.requireNonNull(detail, "detail"), cause);
+        if (retryAfterMillis < 0) {
+            throw new IllegalArgumentException("retryAfterMillis is negative: " + retryAfterMillis);
+        }
+        this.type = Objects.requireNonNull(type, "type");
+        this.retryAfterMillis = retryAfterMillis;
+    }
+
+    /**
+     * Returns the type of this failure.
+     *
+     * @return the type, never null
+     */
+    public FailureType type() {
+        return type;
+    }
+
+    /**
+     * Returns the time after which a retry may succeed.
+     *
+     * @return the time in milliseconds, 0 for none
+     */
+    public long retryAfterMillis() {
+        return retryAfterMillis;
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reading and writing of JSON with the settings that all processes share. */
+package org.fescueloom.json;
