Add the skeleton of the daemon: server, client, metrics, services

Cause: the parts of the daemon need one place to hang routes, background work and shutdown on, and one typed layer over the HTTP libraries.

Proxy settings of the machine are not used between processes.

--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/Daemon.java
@@ -0,0 +1,115 @@
+package org.fescueloom.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.fescueloom.daemon.http.HttpReply;
+import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.daemon.settings.Settings;
+import org.tinylog.Logger;
+
+/** Runs one process of the system: its server, its metrics and the services of its role. */
+public final class Daemon implements AutoCloseable {
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+    private final Settings settings;
+    private final Metrics metrics = new Metrics();
+    private final HttpServer server;
+    private final List<Service> services = new ArrayList<>();
+
+    private Daemon(Settings settings) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.server = new HttpServer(settings.listenHost(), settings.listenPort(), MAX_BODY_BYTES);
+        server.route("GET", "/metrics", call -> reply(metricsReply()));
+        server.route("GET", "/health/live", call -> reply(HttpReply.json(Map.of("live", true))));
+    }
+
+    /**
+     * Creates the daemon of the role that the settings name; it does not listen yet.
+     *
+     * @param settings the settings, not null
+     * @return the daemon, never null
+     */
+    public static Daemon create(Settings settings) {
+        Daemon daemon = new Daemon(settings);
+        switch (settings.role()) {
+            case ENTRY -> EntryRole.install(daemon);
+            case AGENT -> AgentRole.install(daemon);
+            default -> throw new IllegalArgumentException("unknown role: " + settings.role());
+        }
+        return daemon;
+    }
+
+    /**
+     * Adds a service of the role; to be called before the start.
+     *
+     * @param service the service, not null
+     */
+    public void add(Service service) {
+        services.add(Objects.requireNonNull(service, "service"));
+        service.routes(server);
+    }
+
+    /** Starts to listen, then starts the services in the order in which they were added. */
+    public void start() {
+        server.start();
+        services.forEach(service -> service.start(address()));
+        Logger.info(
+                "event=started role={} zone={} address={}",
+                settings.role().text(),
+                settings.zone(),
+                address());
+    }
+
+    /** Drains the services in the reverse order, then closes them and stops listening. */
+    @Override
+    public void close() {
+        Logger.info("event=draining");
+        for (int i = services.size() - 1; i >= 0; i--) {
+            services.get(i).drain();
+        }
+        for (int i = services.size() - 1; i >= 0; i--) {
+            services.get(i).close();
+        }
+        server.close();
+        Logger.info("event=stopped");
+    }
+
+    /**
+     * Returns where the daemon listens.
+     *
+     * @return the "address:port", with the real port once started
+     */
+    public String address() {
+        return settings.listenHost() + ":" + server.port();
+    }
+
+    /**
+     * Returns the settings.
+     *
+     * @return the settings, never null
+     */
+    public Settings settings() {
+        return settings;
+    }
+
+    /**
+     * Returns the metrics.
+     *
+     * @return the metrics, never null
+     */
+    public Metrics metrics() {
+        return metrics;
+    }
+
+    private HttpReply metricsReply() {
+        return new HttpReply(HttpReply.OK, HttpReply.JSON, Map.of(), metrics.json());
+    }
+
+    private static CompletableFuture<HttpReply> reply(HttpReply value) {
+        return CompletableFuture.completedFuture(value);
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/DaemonMain.java
@@ -0,0 +1,77 @@
+package org.fescueloom.daemon;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.fescueloom.daemon.settings.Settings;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.json.Json;
+import org.tinylog.ThreadContext;
+
+/** Starts the daemon from its settings file. */
+public final class DaemonMain {
+    /** The exit status after a fault in the arguments or the settings. */
+    public static final int EXIT_BAD_SETTINGS = 2;
+
+    private static final String CONFIG = "config";
+    private static final String CHECK = "check";
+    private static final String HELP = "help";
+
+    private DaemonMain() {}
+
+    /**
+     * Runs the daemon until it is told to stop.
+     *
+     * @param arguments the command line, not null
+     */
+    public static void main(String[] arguments) {
+        Options options = options();
+        try {
+            CommandLine line = new DefaultParser().parse(options, arguments);
+            if (line.hasOption(HELP) || !line.hasOption(CONFIG)) {
+                new HelpFormatter().printHelp("fescueloomd", options, true);
+                System.exit(line.hasOption(HELP) ? 0 : EXIT_BAD_SETTINGS);
+            }
+            Settings settings = load(Path.of(line.getOptionValue(CONFIG)));
+            if (!line.hasOption(CHECK)) {
+                run(settings);
+            }
+        } catch (ParseException | IOException | SchedulerException e) {
+            System.err.println("fescueloomd: " + e.getMessage());
+            System.exit(EXIT_BAD_SETTINGS);
+        }
+    }
+
+    private static Options options() {
+        Options options = new Options();
+        options.addOption(
+                Option.builder()
+                        .longOpt(CONFIG)
+                        .hasArg()
+                        .argName("FILE")
+                        .desc("the settings file, in JSON")
+                        .build());
+        options.addOption(
+                Option.builder().longOpt(CHECK).desc("check the settings and exit").build());
+        options.addOption(Option.builder().longOpt(HELP).desc("print this help").build());
+        return options;
+    }
+
+    private static Settings load(Path file) throws IOException {
+        return Json.readStrict(Files.readAllBytes(file), Settings.class);
+    }
+
+    private static void run(Settings settings) {
+        ThreadContext.put("member", settings.member());
+        Daemon daemon = Daemon.create(settings);
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::close, "shutdown"));
+        daemon.start();
+        System.out.println("listening " + daemon.address());
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
@@ -0,0 +1,121 @@
+package org.fescueloom.daemon.http;
+
+import io.jooby.Context;
+import io.jooby.Value;
+import java.util.Objects;
+import java.util.Optional;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.json.Json;
+
+/** Gives a handler typed access to one HTTP request. */
+public final class HttpCall {
+    private final Context context;
+    private final byte[] body;
+
+    HttpCall(Context context) {
+        this.context = Objects.requireNonNull(context, "context");
+        byte[] bytes = context.body().bytes();
+        this.body = bytes == null ? new byte[0] : bytes;
+    }
+
+    /**
+     * Returns the value of a path variable.
+     *
+     * @param name the name of the variable, not null
+     * @return the value, never null
+     */
+    public String path(String name) {
+        return context.path(name).value();
+    }
+
+    /**
+     * Returns a query parameter.
+     *
+     * @param name the name of the parameter, not null
+     * @return the value, or empty if it is missing
+     */
+    public Optional<String> query(String name) {
+        return optional(context.query(name));
+    }
+
+    /**
+     * Returns a query parameter that is a whole number.
+     *
+     * @param name the name of the parameter, not null
+     * @param defaultValue the value that a missing parameter stands for
+     * @return the value
+     * @throws SchedulerException with type {@code INVALID_FIELD} if it is not a whole number
+     */
+    public long queryLong(String name, long defaultValue) {
+        return query(name).map(text -> parseLong(name, text)).orElse(defaultValue);
+    }
+
+    /**
+     * Returns a header.
+     *
+     * @param name the name of the header, not null
+     * @return the value, or empty if it is missing
+     */
+    public Optional<String> header(String name) {
+        return optional(context.header(name));
+    }
+
+    /**
+     * Returns a header that is a whole number.
+     *
+     * @param name the name of the header, not null
+     * @param defaultValue the value that a missing header stands for
+     * @return the value
+     * @throws SchedulerException with type {@code INVALID_FIELD} if it is not a whole number
+     */
+    public long headerLong(String name, long defaultValue) {
+        return header(name).map(text -> parseLong(name, text)).orElse(defaultValue);
+    }
+
+    /**
+     * Returns the whole body.
+     *
+     * @return the bytes, empty if there is none, never null
+     */
+    public byte[] body() {
+        return body;
+    }
+
+    /**
+     * Reads the body as a value that a person or a caller wrote; unknown fields are refused.
+     *
+     * @param <T> the type of the value
+     * @param type the class of the value, not null
+     * @return the value, never null
+     * @throws SchedulerException with type {@code MALFORMED_INPUT} if the body is no such value
+     */
+    public <T> T readStrict(Class<T> type) {
+        return Json.readStrict(body, type);
+    }
+
+    /**
+     * Reads the body as a value that another process wrote; unknown fields are passed over.
+     *
+     * @param <T> the type of the value
+     * @param type the class of the value, not null
+     * @return the value, never null
+     * @throws SchedulerException with type {@code MALFORMED_INPUT} if the body is no such value
+     */
+    public <T> T read(Class<T> type) {
+        return Json.read(body, type);
+    }
+
+    private static Optional<String> optional(Value value) {
+        return value.isMissing() ? Optional.empty() : Optional.of(value.value());
+    }
+
+    private static long parseLong(String name, String text) {
+        try {
+            return Long.parseLong(text.trim());
+        } catch (NumberFormatException e) {
+            throw new SchedulerException(
+                    FailureType.INVALID_FIELD, name + " is not a whole number: " + text, 0L, e);
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
@@ -0,0 +1,132 @@
+package org.fescueloom.daemon.http;
+
+import java.io.IOException;
+import java.net.Proxy;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.fescueloom.json.Json;
+
+/**
+ * Sends HTTP requests to other processes without any retry or redirect of its own.
+ *
+ * <p>Each call in flight takes one thread; further calls wait until one ends.
+ */
+public final class HttpClient implements AutoCloseable {
+    private static final MediaType JSON = MediaType.get(HttpReply.JSON);
+    private static final long IDLE_CONNECTION_SECONDS = 30;
+
+    private final OkHttpClient client;
+
+    /**
+     * Creates a client.
+     *
+     * @param maxCalls the most calls in flight, in all and to one address, at least 1
+     * @param connectTimeout the longest time to open a connection, not null
+     */
+    public HttpClient(int maxCalls, Duration connectTimeout) {
+        this(maxCalls, connectTimeout, maxCalls);
+    }
+
+    /**
+     * Creates a client that keeps a given number of idle connections.
+     *
+     * @param maxCalls the most calls in flight, in all and to one address, at least 1
+     * @param connectTimeout the longest time to open a connection, not null
+     * @param idleConnections how many idle connections are kept; 0 makes each call open a fresh one
+     * @throws IllegalArgumentException if {@code maxCalls} is not positive or {@code
+     *     idleConnections} is negative
+     */
+    public HttpClient(int maxCalls, Duration connectTimeout, int idleConnections) {
+        if (maxCalls < 1 || idleConnections < 0) {
+            throw new IllegalArgumentException("maxCalls or idleConnections is out of range");
+        }
+        Dispatcher dispatcher = new Dispatcher();
+        dispatcher.setMaxRequests(maxCalls);
+        dispatcher.setMaxRequestsPerHost(maxCalls);
+        client =
+                new OkHttpClient.Builder()
+                        .dispatcher(dispatcher)
+                        .connectionPool(
+                                new ConnectionPool(
+                                        idleConnections, IDLE_CONNECTION_SECONDS, TimeUnit.SECONDS))
+                        .connectTimeout(Objects.requireNonNull(connectTimeout, "connectTimeout"))
+                        .readTimeout(Duration.ZERO)
+                        .writeTimeout(Duration.ZERO)
+                        .proxy(Proxy.NO_PROXY)
+                        .retryOnConnectionFailure(false)
+                        .followRedirects(false)
+                        .build();
+    }
+
+    /**
+     * Creates a request with a JSON body.
+     *
+     * @param method the HTTP method, not null
+     * @param address the "address:port" of the receiver, not null
+     * @param path the path with its query, starting with a slash, not null
+     * @param body the value to write; null for no body, which only GET and DELETE may have
+     * @return a builder of the request, never null
+     */
+    public static Request.Builder request(String method, String address, String path, Object body) {
+        RequestBody content = body == null ? null : RequestBody.create(Json.write(body), JSON);
+        return new Request.Builder().url("http://" + address + path).method(method, content);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request the request, not null
+     * @param timeout the longest time until the whole answer is here, not null
+     * @return a future of the whole answer; it fails with an {@link IOException} if none came; to
+     *     cancel the future ends the call
+     */
+    public CompletableFuture<HttpAnswer> send(Request request, Duration timeout) {
+        Call call = client.newCall(request);
+        call.timeout().timeout(timeout.toNanos(), TimeUnit.NANOSECONDS);
+        CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+        answer.whenComplete(
+                (value, error) -> {
+                    if (answer.isCancelled()) {
+                        call.cancel();
+                    }
+                });
+        call.enqueue(new AnswerCallback(answer));
+        return answer;
+    }
+
+    /** Ends all calls and closes all connections. */
+    @Override
+    public void close() {
+        client.dispatcher().cancelAll();
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+
+    private record AnswerCallback(CompletableFuture<HttpAnswer> answer) implements Callback {
+        @Override
+        public void onFailure(Call call, IOException e) {
+            answer.completeExceptionally(e);
+        }
+
+        @Override
+        public void onResponse(Call call, Response response) {
+            try (response) {
+                byte[] body = response.body() == null ? new byte[0] : response.body().bytes();
+                answer.complete(new HttpAnswer(response.code(), response.headers(), body));
+            } catch (IOException e) {
+                answer.completeExceptionally(e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -0,0 +1,145 @@
+package org.fescueloom.daemon.http;
+
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.Server;
+import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
+import io.jooby.netty.NettyServer;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.tinylog.Logger;
+
+/** Serves HTTP routes on one address; every failure is answered as typed JSON. */
+public final class HttpServer implements AutoCloseable {
+    private static final int IO_THREADS = 2;
+    private static final int WORKER_THREADS = 2;
+
+    /** Keeps the library's own shutdown hook off: it would close connections before the drain. */
+    private static final String SHUTDOWN_HOOK_PROPERTY = "jooby.useShutdownHook";
+
+    /** Keeps the native transport off: it unpacks a file, and VMs have no disks. */
+    private static final String NO_NATIVE_PROPERTY = "io.netty.transport.noNative";
+
+    private final Jooby app = new Jooby();
+    private final ServerOptions options = new ServerOptions();
+    private Server server;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param host the IP number to listen on, not null
+     * @param port the port to listen on; 0 for any free one
+     * @param maxBodyBytes the longest request body that is accepted, in bytes; bodies stay in
+     *     memory
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
+     */
+    public HttpServer(String host, int port, int maxBodyBytes) {
+        if (maxBodyBytes <= 0) {
+            throw new IllegalArgumentException("maxBodyBytes is not positive: " + maxBodyBytes);
+        }
+        System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false");
+        System.setProperty(NO_NATIVE_PROPERTY, "true");
+        options.setHost(Objects.requireNonNull(host, "host"));
+        options.setPort(port);
+        options.setIoThreads(IO_THREADS);
+        options.setWorkerThreads(WORKER_THREADS);
+        options.setMaxRequestSize(maxBodyBytes);
+        options.setDefaultHeaders(false);
+        app.setExecutionMode(ExecutionMode.EVENT_LOOP);
+        app.error(HttpServer::sendError);
+    }
+
+    /**
+     * Adds a route; to be called before the start.
+     *
+     * @param method the HTTP method, not null
+     * @param pattern the path with variables in braces, not null
+     * @param handler answers the requests, not null
+     */
+    public void route(String method, String pattern, HttpHandler handler) {
+        Objects.requireNonNull(handler, "handler");
+        app.route(method, pattern, context -> dispatch(context, handler));
+    }
+
+    /** Starts to listen. */
+    public void start() {
+        server = new NettyServer().setOptions(options).start(app);
+    }
+
+    /**
+     * Returns the port that the server listens on.
+     *
+     * @return the port
+     */
+    public int port() {
+        return options.getPort();
+    }
+
+    /** Stops listening and closes all connections; does nothing before the start. */
+    @Override
+    public void close() {
+        if (server != null) {
+            server.stop();
+        }
+    }
+
+    private static Object dispatch(Context context, HttpHandler handler) {
+        CompletableFuture<HttpReply> reply;
+        try {
+            reply = handler.handle(new HttpCall(context));
+        } catch (RuntimeException e) {
+            reply = CompletableFuture.failedFuture(e);
+        }
+        reply.whenComplete((value, error) -> send(context, value, error));
+        return context;
+    }
+
+    private static void send(Context context, HttpReply reply, Throwable error) {
+        try {
+            write(context, error == null ? reply : HttpReply.failure(asFailure(error)));
+        } catch (RuntimeException e) {
+            Logger.debug(e, "event=reply-not-sent path={}", context.getRequestPath());
+        }
+    }
+
+    private static void sendError(Context context, Throwable error, StatusCode status) {
+        SchedulerException failure =
+                switch (status.value()) {
+                    case StatusCode.NOT_FOUND_CODE ->
+                            new SchedulerException(FailureType.NOT_FOUND, "no such path");
+                    case StatusCode.METHOD_NOT_ALLOWED_CODE ->
+                            new SchedulerException(
+                                    FailureType.METHOD_NOT_ALLOWED, "no such method on this path");
+                    case StatusCode.REQUEST_ENTITY_TOO_LARGE_CODE ->
+                            new SchedulerException(
+                                    FailureType.BODY_TOO_LARGE, "the body is over the limit");
+                    default -> asFailure(error);
+                };
+        write(context, HttpReply.failure(failure));
+    }
+
+    private static void write(Context context, HttpReply reply) {
+        context.setResponseCode(reply.status());
+        context.setResponseType(MediaType.valueOf(reply.contentType()));
+        reply.headers().forEach(context::setResponseHeader);
+        context.send(reply.body());
+    }
+
+    private static SchedulerException asFailure(Throwable error) {
+        Throwable cause = error;
+        while (cause instanceof CompletionException && cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        if (cause instanceof SchedulerException failure) {
+            return failure;
+        }
+        Logger.error(cause, "event=internal-failure");
+        return new SchedulerException(FailureType.INTERNAL, "internal failure", 0L, cause);
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/settings/Settings.java
@@ -0,0 +1,53 @@
+package org.fescueloom.daemon.settings;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Holds the settings of one daemon.
+ *
+ * @param role the role, not null
+ * @param member the identifier of the process, not null
+ * @param zone the availability zone, not null
+ * @param listen where to listen, as "address:port" with port 0 for any free one, not null
+ * @param entries the entries to announce to first, as "address:port"; null counts as none
+ * @param logService the addresses of the log service, as "address:port", not null
+ * @param logLevel the least level of events to log; null counts as "info"
+ */
+public record Settings(
+        Role role,
+        String member,
+        String zone,
+        String listen,
+        List<String> entries,
+        List<String> logService,
+        String logLevel) {
+    /** Checks the required settings and fills in what may be left out. */
+    public Settings {
+        Objects.requireNonNull(role, "role");
+        Objects.requireNonNull(member, "member");
+        Objects.requireNonNull(zone, "zone");
+        Objects.requireNonNull(listen, "listen");
+        entries = entries == null ? List.of() : List.copyOf(entries);
+        logService = logService == null ? List.of() : List.copyOf(logService);
+        logLevel = logLevel == null ? "info" : logLevel;
+    }
+
+    /**
+     * Returns the IP number to listen on.
+     *
+     * @return the part of the listen address before the colon
+     */
+    public String listenHost() {
+        return listen.substring(0, listen.lastIndexOf(':'));
+    }
+
+    /**
+     * Returns the port to listen on.
+     *
+     * @return the part of the listen address after the colon; 0 for any free one
+     */
+    public int listenPort() {
+        return Integer.parseInt(listen.substring(listen.lastIndexOf(':') + 1));
+    }
+}
