--- a/fescueloom-core/src/main/java/org/fescueloom/failure/FailureType.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/failure/FailureType.java
@@ -74,6 +74,16 @@
     UPSTREAM_INVALID_ANSWER(502, Outcome.RAN),
     /** The upstream ran the request and reported a failure. */
     UPSTREAM_FAILED(502, Outcome.RAN),
+    /** The worker has no room for the lease, or the lease was released or has lapsed before. */
+    LEASE_REFUSED(409, Outcome.NOT_RUN),
+    /** A planner of a higher epoch has taken over. */
+    STALE_EPOCH(412, Outcome.NOT_RUN),
+    /** The worker gave no answer; the call may have taken effect. */
+    WORKER_UNREACHABLE(503, Outcome.UNKNOWN),
+    /** The worker's answer is not of the form that the protocol asks for. */
+    WORKER_INVALID_ANSWER(502, Outcome.UNKNOWN),
+    /** Not all members of a gang could be started within the bound. */
+    GANG_START_INCOMPLETE(503, Outcome.NOT_RUN),
     /** The process met a fault of its own before the request was started. */
     INTERNAL(500, Outcome.NOT_RUN);
 
