Interpret state charts from JSON resources

Cause: the house style asks for state charts in files that the code interprets, and jobs, gangs, requests and attempts need one reading of them. Ruled out: guards in the charts, because a walk over all events would then miss the branches that a guard hides; a condition is told by two events. Change: org.fescueloom.chart with ChartDefinition (file, checked whole), StateChart (bound to enums, constants and names matched both ways), charts job, gang, request, attempt, upstream, worker and zone, and in test scope StateSpaceWalker, which names the shortest path to a broken promise. Conclusion: the charts are first versions; their owners adapt them with their enums.

--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/chart/ChartFault.java
@@ -0,0 +1,24 @@
+package org.fescueloom.chart;
+
+import java.util.Objects;
+
+/**
+ * Describes one fault in the file of a state chart.
+ *
+ * @param type what is wrong, not null
+ * @param path where it is wrong, such as "states.running.events.timed-out", not null
+ * @param detail a sentence for a person, not null
+ */
+public record ChartFault(ChartFaultType type, String path, String detail) {
+    /** Checks that no component is null. */
+    public ChartFault {
+        Objects.requireNonNull(type, "type");
+        Objects.requireNonNull(path, "path");
+        Objects.requireNonNull(detail, "detail");
+    }
+
+    @Override
+    public String toString() {
+        return path + ": " + detail;
+    }
+}
