--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/config/ConfigurationRecord.java
@@ -0,0 +1,94 @@
+package org.fescueloom.config;
+
+import com.fasterxml.jackson.annotation.JsonValue;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Locale;
+import java.util.Objects;
+import org.fescueloom.json.Json;
+
+/**
+ * Holds the payload of one record of the stream "config".
+ *
+ * @param format the version of this format, see {@link #FORMAT}
+ * @param kind what the record does, not null
+ * @param base the version that a change replaces, or the version that a snapshot restates; -1 for
+ *     none
+ * @param at for a snapshot, the offset below which every record is part of it; 0 for a change
+ * @param document the whole document, not null
+ * @param writer the process that appended the record, not null
+ */
+public record ConfigurationRecord(
+        int format, Kind kind, long base, long at, ConfigurationDocument document, String writer) {
+    /** The stream that keeps these records. */
+    public static final String STREAM = "config";
+
+    /** The version of the record format that this code reads and writes. */
+    public static final int FORMAT = 1;
+
+    /** The version in force before the first change. */
+    public static final long NO_VERSION = -1L;
+
+    /** Checks that everything is given and that the numbers are in range. */
+    public ConfigurationRecord {
+        Objects.requireNonNull(kind, "kind");
+        Objects.requireNonNull(document, "document");
+        Objects.requireNonNull(writer, "writer");
+        if (base < NO_VERSION || at < 0 || (kind == Kind.SNAPSHOT && base >= at)) {
+            throw new IllegalArgumentException("base " + base + " or at " + at + " out of range");
+        }
+    }
+
+    /** Says what a record of the stream does. */
+    public enum Kind {
+        /** Replaces the document, if its base is the current version at its offset. */
+        CHANGE,
+        /** Restates the document in force, so that it outlives older records. */
+        SNAPSHOT;
+
+        /**
+         * Returns the text that stands for this kind in JSON.
+         *
+         * @return the name in lower case, never null
+         */
+        @JsonValue
+        public String text() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    /**
+     * Creates the record that replaces a version.
+     *
+     * @param base the version that the writer saw; -1 for none
+     * @param document the new document, not null
+     * @param writer the process that appends the record, not null
+     * @return the record, never null
+     */
+    public static ConfigurationRecord change(
+            long base, ConfigurationDocument document, String writer) {
+        return new ConfigurationRecord(FORMAT, Kind.CHANGE, base, 0L, document, writer);
+    }
+
+    /**
+     * Creates the record that restates a version.
+     *
+     * @param version the version in force below offset {@code at}; -1 for none
+     * @param at the offset below which every record was folded
+     * @param document the document in force, not null
+     * @param writer the process that appends the record, not null
+     * @return the record, never null
+     */
+    public static ConfigurationRecord snapshot(
+            long version, long at, ConfigurationDocument document, String writer) {
+        return new ConfigurationRecord(FORMAT, Kind.SNAPSHOT, version, at, document, writer);
+    }
+
+    /**
+     * Returns this record as the payload of a log record.
+     *
+     * @return the JSON tree, never null
+     */
+    public JsonNode payload() {
+        return Json.tree(this);
+    }
+}
