Check the whole settings file at start and log structured events

Cause: a daemon must name every fault of its settings with path, value and what is allowed and exit with status 2; events need one structured line. Ruled out: binding straight to the record, because the library stops at the first fault; JSON schema, a new dependency for nine fields. Change: SettingsLoader and InvalidSettingsException, settings advertise, logLevel as an enum and limits.maxBodyBytes, all used by the daemon; SocketAddresses in org.fescueloom.wire (IP numbers only, nothing is resolved); EventLog with quoted fields; log times now carry their offset, where a literal Z stood beside local time. Conclusion: further limits come with the code that enforces them.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/Daemon.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/Daemon.java
@@ -13,8 +13,6 @@
 
 /** Runs one process of the system: its server, its metrics and the services of its role. */
 public final class Daemon implements AutoCloseable {
-    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
-
     private final Settings settings;
     private final Metrics metrics = new Metrics();
     private final HttpServer server;
@@ -22,7 +20,11 @@
 
     private Daemon(Settings settings) {
         this.settings = Objects.requireNonNull(settings, "settings");
-        this.server = new HttpServer(settings.listenHost(), settings.listenPort(), MAX_BODY_BYTES);
+        this.server =
+                new HttpServer(
+                        settings.listenHost(),
+                        settings.listenPort(),
+                        settings.limits().maxBodyBytes());
         server.route("GET", "/metrics", call -> reply(metricsReply()));
         server.route("GET", "/health/live", call -> reply(HttpReply.json(Map.of("live", true))));
     }
@@ -56,7 +58,7 @@
     /** Starts to listen, then starts the services in the order in which they were added. */
     public void start() {
         server.start();
-        services.forEach(service -> service.start(address()));
+        services.forEach(service -> service.start(advertisedAddress()));
         Logger.info(
                 "event=started role={} zone={} address={}",
                 settings.role().text(),
@@ -87,6 +89,15 @@
         return settings.listenHost() + ":" + server.port();
     }
 
+    /**
+     * Returns where others reach the daemon.
+     *
+     * @return the advertised "address:port" of the settings, or else where the daemon listens
+     */
+    public String advertisedAddress() {
+        return settings.advertise() == null ? address() : settings.advertise();
+    }
+
     /**
      * Returns the settings.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/DaemonMain.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/DaemonMain.java
@@ -1,7 +1,7 @@
 package org.fescueloom.daemon;
 
 import java.io.IOException;
-import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -9,10 +9,10 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.daemon.settings.InvalidSettingsException;
 import org.fescueloom.daemon.settings.Settings;
-import org.fescueloom.failure.SchedulerException;
-import org.fescueloom.json.Json;
-import org.tinylog.ThreadContext;
+import org.fescueloom.daemon.settings.SettingsLoader;
 
 /** Starts the daemon from its settings file. */
 public final class DaemonMain {
@@ -38,11 +38,19 @@
                 new HelpFormatter().printHelp("fescueloomd", options, true);
                 System.exit(line.hasOption(HELP) ? 0 : EXIT_BAD_SETTINGS);
             }
-            Settings settings = load(Path.of(line.getOptionValue(CONFIG)));
-            if (!line.hasOption(CHECK)) {
-                run(settings);
+            Settings settings = SettingsLoader.load(Path.of(line.getOptionValue(CONFIG)));
+            if (line.hasOption(CHECK)) {
+                System.out.println("settings are valid");
+                return;
             }
-        } catch (ParseException | IOException | SchedulerException e) {
+            run(settings);
+        } catch (InvalidSettingsException e) {
+            e.faults().forEach(fault -> System.err.println("fescueloomd: " + fault));
+            System.exit(EXIT_BAD_SETTINGS);
+        } catch (NoSuchFileException e) {
+            System.err.println("fescueloomd: no such settings file: " + e.getMessage());
+            System.exit(EXIT_BAD_SETTINGS);
+        } catch (ParseException | IOException e) {
             System.err.println("fescueloomd: " + e.getMessage());
             System.exit(EXIT_BAD_SETTINGS);
         }
@@ -63,12 +71,8 @@
         return options;
     }
 
-    private static Settings load(Path file) throws IOException {
-        return Json.readStrict(Files.readAllBytes(file), Settings.class);
-    }
-
     private static void run(Settings settings) {
-        ThreadContext.put("member", settings.member());
+        EventLog.configure(settings.logLevel(), settings.member());
         Daemon daemon = Daemon.create(settings);
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::close, "shutdown"));
         daemon.start();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/Service.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/Service.java
@@ -14,7 +14,7 @@
     /**
      * Starts the background work; called once, when the server listens.
      *
-     * @param address where the daemon listens, as "address:port", not null
+     * @param address where others reach the daemon, as "address:port", not null
      */
     default void start(String address) {}
 
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/settings/SettingsLoader.java
@@ -0,0 +1,220 @@
+package org.fescueloom.daemon.settings;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+import org.fescueloom.json.Json;
+import org.fescueloom.wire.SocketAddresses;
+
+/** Reads a settings file and names every fault in it at once. */
+public final class SettingsLoader {
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+    private static final List<String> FIELDS =
+            List.of(
+                    "role",
+                    "member",
+                    "zone",
+                    "listen",
+                    "advertise",
+                    "entries",
+                    "logService",
+                    "logLevel",
+                    "limits");
+    private static final List<String> LIMIT_FIELDS = List.of("maxBodyBytes");
+    private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9.-]{0,63}");
+    private static final String NAME_FORM =
+            "1 to 64 small letters, digits, hyphens and dots, starting with a letter or a digit";
+    private static final String NOTHING = "nothing";
+
+    private final List<SettingsFault> faults = new ArrayList<>();
+
+    private SettingsLoader() {}
+
+    /**
+     * Reads and checks a settings file.
+     *
+     * @param file the file, not null
+     * @return the settings, never null
+     * @throws IOException if the file cannot be read
+     * @throws InvalidSettingsException if the file has any fault
+     */
+    public static Settings load(Path file) throws IOException {
+        return parse(Files.readAllBytes(file));
+    }
+
+    /**
+     * Reads and checks the text of a settings file.
+     *
+     * @param text the JSON text in UTF-8, not null
+     * @return the settings, never null
+     * @throws InvalidSettingsException if the text has any fault
+     */
+    public static Settings parse(byte[] text) {
+        JsonNode root = readTree(text);
+        SettingsLoader loader = new SettingsLoader();
+        loader.check(root);
+        if (!loader.faults.isEmpty()) {
+            throw new InvalidSettingsException(loader.faults);
+        }
+        return Json.convert(root, Settings.class);
+    }
+
+    private static JsonNode readTree(byte[] text) {
+        try {
+            JsonNode root = MAPPER.readTree(text);
+            if (root != null && root.isObject()) {
+                return root;
+            }
+            throw unreadable(root == null ? NOTHING : root.toString());
+        } catch (JsonProcessingException e) {
+            throw unreadable(e.getOriginalMessage() + lineOf(e));
+        } catch (IOException e) {
+            throw unreadable(e.getMessage());
+        }
+    }
+
+    private static String lineOf(JsonProcessingException e) {
+        return e.getLocation() == null ? "" : " in line " + e.getLocation().getLineNr();
+    }
+
+    private static InvalidSettingsException unreadable(String found) {
+        return new InvalidSettingsException(
+                List.of(new SettingsFault("(file)", found, "one JSON object of settings")));
+    }
+
+    private void check(JsonNode root) {
+        checkFields(root, "", FIELDS);
+        checkChoice(root, "role", true, Arrays.stream(Role.values()).map(Role::text).toList());
+        checkText(root, "member", true, t -> NAME.matcher(t).matches(), NAME_FORM);
+        checkText(root, "zone", true, t -> NAME.matcher(t).matches(), NAME_FORM);
+        checkText(
+                root,
+                "listen",
+                true,
+                SocketAddresses::isListenable,
+                SocketAddresses.FORM + "; port 0 takes any free one");
+        checkAdvertise(root);
+        boolean agent = root.path("role").asText().equals(Role.AGENT.text());
+        boolean entry = root.path("role").asText().equals(Role.ENTRY.text());
+        checkAddresses(root, "entries", agent ? "an agent" : null);
+        checkAddresses(root, "logService", entry ? "an entry" : null);
+        checkChoice(
+                root,
+                "logLevel",
+                false,
+                Arrays.stream(LogLevel.values()).map(LogLevel::text).toList());
+        checkLimits(root);
+    }
+
+    private void report(String path, JsonNode value, String allowed) {
+        faults.add(
+                new SettingsFault(
+                        path, value.isMissingNode() ? NOTHING : value.toString(), allowed));
+    }
+
+    private void checkFields(JsonNode node, String prefix, List<String> allowed) {
+        node.fieldNames()
+                .forEachRemaining(
+                        name -> {
+                            if (!allowed.contains(name)) {
+                                report(
+                                        prefix + name,
+                                        node.get(name),
+                                        "no such setting; the settings here are "
+                                                + String.join(", ", allowed));
+                            }
+                        });
+    }
+
+    private void checkChoice(JsonNode root, String path, boolean required, List<String> allowed) {
+        checkText(root, path, required, allowed::contains, "one of " + String.join(", ", allowed));
+    }
+
+    private void checkText(
+            JsonNode root, String path, boolean required, Predicate<String> rule, String allowed) {
+        JsonNode value = root.path(path);
+        if (value.isMissingNode() && !required) {
+            return;
+        }
+        if (!value.isTextual() || !rule.test(value.asText())) {
+            report(path, value, allowed);
+        }
+    }
+
+    private void checkAdvertise(JsonNode root) {
+        checkText(
+                root,
+                "advertise",
+                false,
+                SocketAddresses::isConnectable,
+                SocketAddresses.FORM + "; neither port 0 nor a wildcard");
+        String listen = root.path("listen").asText();
+        if (root.path("advertise").isMissingNode()
+                && SocketAddresses.isListenable(listen)
+                && SocketAddresses.isWildcard(listen)) {
+            report("advertise", root.path("advertise"), "required when listen is a wildcard");
+        }
+    }
+
+    private void checkAddresses(JsonNode root, String path, String requiredBy) {
+        JsonNode list = root.path(path);
+        if (list.isMissingNode() && requiredBy == null) {
+            return;
+        }
+        if (!list.isArray()) {
+            report(path, list, "a list of addresses");
+            return;
+        }
+        if (list.isEmpty() && requiredBy != null) {
+            report(path, list, "at least one address for " + requiredBy);
+        }
+        Set<String> seen = new HashSet<>();
+        for (int i = 0; i < list.size(); i++) {
+            JsonNode item = list.get(i);
+            String place = path + "[" + i + "]";
+            if (!item.isTextual() || !SocketAddresses.isConnectable(item.asText())) {
+                report(place, item, SocketAddresses.FORM);
+            } else if (!seen.add(item.asText())) {
+                report(place, item, "each address once");
+            }
+        }
+    }
+
+    private void checkLimits(JsonNode root) {
+        JsonNode limits = root.path("limits");
+        if (limits.isMissingNode()) {
+            return;
+        }
+        if (!limits.isObject()) {
+            report("limits", limits, "an object with " + String.join(", ", LIMIT_FIELDS));
+            return;
+        }
+        checkFields(limits, "limits.", LIMIT_FIELDS);
+        JsonNode bytes = limits.path("maxBodyBytes");
+        if (!bytes.isInt()
+                || bytes.intValue() < 1
+                || bytes.intValue() > Limits.MAX_BODY_BYTES_LIMIT) {
+            report(
+                    "limits.maxBodyBytes",
+                    bytes,
+                    "a whole number of bytes from 1 to " + Limits.MAX_BODY_BYTES_LIMIT);
+        }
+    }
+}
