--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/job/GangMember.java
@@ -0,0 +1,25 @@
+package org.fescueloom.job;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Describes where one task of a gang runs.
+ *
+ * @param task the identifier of the task within its job, not null
+ * @param worker the worker, not null
+ * @param address the address of the worker, an IP number with a port, not null
+ * @param lease the lease on the worker, not null
+ * @param accelerators the places of the accelerators on the worker; null counts as none
+ */
+public record GangMember(
+        String task, String worker, String address, String lease, List<Integer> accelerators) {
+    /** Checks the names and copies the accelerators. */
+    public GangMember {
+        Objects.requireNonNull(task, "task");
+        Objects.requireNonNull(worker, "worker");
+        Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(lease, "lease");
+        accelerators = accelerators == null ? List.of() : List.copyOf(accelerators);
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/Capacity.java
@@ -0,0 +1,13 @@
+package org.fescueloom.placement;
+
+/** Tells what a planner may use on each worker. */
+interface Capacity {
+    /** Returns the usable accelerators of a worker, bit i for the accelerator at place i. */
+    long accelerators(int worker);
+
+    /** Returns the usable processor cores of a worker. */
+    int cpus(int worker);
+
+    /** Returns the usable memory of a worker, in mebibytes. */
+    long memoryMb(int worker);
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/FreeCapacity.java
@@ -0,0 +1,76 @@
+package org.fescueloom.placement;
+
+import java.util.List;
+import org.fescueloom.job.JobSpec;
+
+/** Counts what is free on each worker. Mutable and confined to one planning round. */
+final class FreeCapacity implements Capacity {
+    private final Topology topology;
+    private final long[] accelerators;
+    private final int[] cpus;
+    private final long[] memoryMb;
+
+    private FreeCapacity(Topology topology, long[] accelerators, int[] cpus, long[] memoryMb) {
+        this.topology = topology;
+        this.accelerators = accelerators;
+        this.cpus = cpus;
+        this.memoryMb = memoryMb;
+    }
+
+    /** Returns the capacity of workers on which nothing runs. */
+    static FreeCapacity whole(Topology topology) {
+        int size = topology.size();
+        FreeCapacity capacity =
+                new FreeCapacity(topology, new long[size], new int[size], new long[size]);
+        for (int i = 0; i < size; i++) {
+            WorkerView worker = topology.worker(i);
+            capacity.accelerators[i] = AcceleratorSets.first(worker.accelerators());
+            capacity.cpus[i] = worker.cpus();
+            capacity.memoryMb[i] = worker.memoryMb();
+        }
+        return capacity;
+    }
+
+    FreeCapacity copy() {
+        return new FreeCapacity(topology, accelerators.clone(), cpus.clone(), memoryMb.clone());
+    }
+
+    @Override
+    public long accelerators(int worker) {
+        return accelerators[worker];
+    }
+
+    @Override
+    public int cpus(int worker) {
+        return cpus[worker];
+    }
+
+    @Override
+    public long memoryMb(int worker) {
+        return memoryMb[worker];
+    }
+
+    /** Takes what the tasks of a gang use; tasks on unknown workers are passed over. */
+    void take(JobSpec spec, List<TaskPlacement> members) {
+        for (TaskPlacement member : members) {
+            int worker = topology.indexOf(member.worker());
+            if (worker != Topology.UNKNOWN) {
+                accelerators[worker] &= ~AcceleratorSets.of(member.accelerators());
+                cpus[worker] -= spec.cpus();
+                memoryMb[worker] -= spec.memoryMb();
+            }
+        }
+    }
+
+    /** Gives back what the tasks of a gang use. */
+    void give(JobSpec spec, List<TaskPlacement> members) {
+        for (TaskPlacement member : members) {
+            int worker = topology.indexOf(member.worker());
+            if (worker != Topology.UNKNOWN) {
+                accelerators[worker] |= AcceleratorSets.of(member.accelerators());
+                cpus[worker] += spec.cpus();
+                memoryMb[worker] += spec.memoryMb();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/GangFitter.java
@@ -0,0 +1,154 @@
+package org.fescueloom.placement;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.fescueloom.job.JobSpec;
+
+/** Finds workers that can hold all tasks of a gang. */
+final class GangFitter {
+    private final Topology topology;
+    private final WorkerOrder order;
+
+    /**
+     * Creates a fitter.
+     *
+     * @param topology the workers, not null
+     * @param order which workers are preferred, not null
+     */
+    GangFitter(Topology topology, WorkerOrder order) {
+        this.topology = topology;
+        this.order = order;
+    }
+
+    /**
+     * Places a gang within any one set of workers that its adjacency allows.
+     *
+     * @param capacity what may be used, not null
+     * @param spec the gang, not null
+     * @param avoided workers that are not used, not null
+     * @return one placement for each task, or empty if no set holds them all
+     */
+    Optional<List<TaskPlacement>> fit(Capacity capacity, JobSpec spec, Set<String> avoided) {
+        boolean accelerated = spec.acceleratorsPerTask() > 0;
+        Domain best = null;
+        long bestCost = Long.MAX_VALUE;
+        for (Domain domain : topology.domains(spec.adjacency())) {
+            if (!holds(capacity, spec, avoided, domain)) {
+                continue;
+            }
+            if (order == WorkerOrder.LISTED) {
+                return fit(capacity, spec, avoided, domain);
+            }
+            long cost = cost(capacity, domain, accelerated);
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = domain;
+            }
+        }
+        return best == null ? Optional.empty() : fit(capacity, spec, avoided, best);
+    }
+
+    /**
+     * Places a gang within one set of workers.
+     *
+     * @param capacity what may be used, not null
+     * @param spec the gang, not null
+     * @param avoided workers that are not used, not null
+     * @param domain the set of workers, not null
+     * @return one placement for each task, or empty if the set does not hold them all
+     */
+    Optional<List<TaskPlacement>> fit(
+            Capacity capacity, JobSpec spec, Set<String> avoided, Domain domain) {
+        if (!holds(capacity, spec, avoided, domain)) {
+            return Optional.empty();
+        }
+        List<TaskPlacement> members = new ArrayList<>(spec.tasks());
+        for (int worker : ordered(capacity, spec, domain)) {
+            int count =
+                    Math.min(
+                            spec.tasks() - members.size(),
+                            tasksThatFit(capacity, spec, avoided, worker));
+            long free = capacity.accelerators(worker);
+            for (int i = 0; i < count; i++) {
+                long chosen = AcceleratorSets.choose(free, spec.acceleratorsPerTask());
+                free &= ~chosen;
+                members.add(
+                        new TaskPlacement(
+                                members.size(),
+                                topology.worker(worker).worker(),
+                                AcceleratorSets.places(chosen)));
+            }
+            if (members.size() == spec.tasks()) {
+                break;
+            }
+        }
+        return Optional.of(members);
+    }
+
+    /** Tells whether a set of workers holds all tasks of a gang. */
+    boolean holds(Capacity capacity, JobSpec spec, Set<String> avoided, Domain domain) {
+        int placed = 0;
+        for (int worker : domain.workers()) {
+            placed += tasksThatFit(capacity, spec, avoided, worker);
+            if (placed >= spec.tasks()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns how many tasks of a gang one worker holds, at most all of them. */
+    int tasksThatFit(Capacity capacity, JobSpec spec, Set<String> avoided, int worker) {
+        WorkerView view = topology.worker(worker);
+        if (!view.condition().isOpen() || avoided.contains(view.worker())) {
+            return 0;
+        }
+        long count = spec.tasks();
+        if (spec.acceleratorsPerTask() > 0) {
+            int free = Long.bitCount(capacity.accelerators(worker));
+            count = Math.min(count, free / spec.acceleratorsPerTask());
+        }
+        if (spec.cpus() > 0) {
+            count = Math.min(count, capacity.cpus(worker) / spec.cpus());
+        }
+        if (spec.memoryMb() > 0) {
+            count = Math.min(count, capacity.memoryMb(worker) / spec.memoryMb());
+        }
+        if (view.condition() == WorkerCondition.ON_PROBATION) {
+            boolean small = spec.tasks() == 1;
+            boolean idle = capacity.cpus(worker) == view.cpus();
+            return small && idle ? (int) Math.max(0, count) : 0;
+        }
+        return (int) Math.max(0, count);
+    }
+
+    private long cost(Capacity capacity, Domain domain, boolean accelerated) {
+        long cost = 0L;
+        for (int worker : domain.workers()) {
+            cost += order.cost(topology, capacity, worker, accelerated);
+        }
+        return cost;
+    }
+
+    private int[] ordered(Capacity capacity, JobSpec spec, Domain domain) {
+        int[] workers = domain.workers();
+        if (order == WorkerOrder.LISTED || workers.length == 1) {
+            return workers;
+        }
+        boolean accelerated = spec.acceleratorsPerTask() > 0;
+        long[] keys = new long[workers.length];
+        for (int i = 0; i < workers.length; i++) {
+            long cost = order.cost(topology, capacity, workers[i], accelerated);
+            keys[i] = cost * workers.length + i;
+        }
+        Arrays.sort(keys);
+        int[] sorted = new int[workers.length];
+        for (int i = 0; i < keys.length; i++) {
+            sorted[i] = workers[(int) (keys[i] % workers.length)];
+        }
+        return sorted;
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/RunTimeEstimates.java
@@ -0,0 +1,57 @@
+package org.fescueloom.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Corrects declared run times by what was seen for the customer and class of work.
+ *
+ * <p>Keeps a moving mean of the logarithm of seen over declared run time. Not thread-safe.
+ */
+public final class RunTimeEstimates {
+    private static final double WEIGHT_OF_NEWEST = 0.2;
+    private static final double LARGEST_FACTOR = 20.0;
+
+    private final Map<Key, Double> logFactors = new HashMap<>();
+
+    /** Creates estimates that trust every declaration. */
+    public RunTimeEstimates() {}
+
+    /**
+     * Records how long a whole run took.
+     *
+     * @param customer the customer, not null
+     * @param serviceClass the class of work, not null
+     * @param declaredMillis the declared run time, in milliseconds; below 1 nothing is recorded
+     * @param seenMillis the run time that was seen, in milliseconds; below 1 nothing is recorded
+     */
+    public void record(String customer, String serviceClass, long declaredMillis, long seenMillis) {
+        if (declaredMillis < 1 || seenMillis < 1) {
+            return;
+        }
+        double bounded =
+                Math.max(
+                        1 / LARGEST_FACTOR,
+                        Math.min(LARGEST_FACTOR, (double) seenMillis / declaredMillis));
+        double newest = Math.log(bounded);
+        logFactors.merge(
+                new Key(customer, serviceClass),
+                newest,
+                (old, n) -> old + WEIGHT_OF_NEWEST * (n - old));
+    }
+
+    /**
+     * Returns the run time to expect.
+     *
+     * @param customer the customer, not null
+     * @param serviceClass the class of work, not null
+     * @param declaredMillis the declared run time, in milliseconds
+     * @return the corrected run time in milliseconds, at least 1
+     */
+    public long expectedMillis(String customer, String serviceClass, long declaredMillis) {
+        double logFactor = logFactors.getOrDefault(new Key(customer, serviceClass), 0.0);
+        return Math.max(1L, Math.round(declaredMillis * Math.exp(logFactor)));
+    }
+
+    private record Key(String customer, String serviceClass) {}
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/Topology.java
@@ -0,0 +1,76 @@
+package org.fescueloom.placement;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.fescueloom.config.Adjacency;
+
+/** Indexes the workers of a cluster by rack and availability zone. */
+final class Topology {
+    /** The index of a worker that is not known. */
+    static final int UNKNOWN = -1;
+
+    private final List<WorkerView> workers;
+    private final Map<String, Integer> indexes = new HashMap<>();
+    private final Map<Adjacency, List<Domain>> domains = new EnumMap<>(Adjacency.class);
+    private final Map<Adjacency, int[]> domainOfWorker = new EnumMap<>(Adjacency.class);
+
+    /**
+     * Indexes workers.
+     *
+     * @param workers the workers, not null
+     */
+    Topology(List<WorkerView> workers) {
+        this.workers = workers;
+        for (int i = 0; i < workers.size(); i++) {
+            indexes.put(workers.get(i).worker(), i);
+        }
+        group(Adjacency.WORKER, WorkerView::worker);
+        group(Adjacency.RACK, w -> w.zone() + "/" + w.rack());
+        group(Adjacency.ZONE, WorkerView::zone);
+        group(Adjacency.NONE, w -> "cluster");
+    }
+
+    private void group(Adjacency adjacency, Function<WorkerView, String> key) {
+        Map<String, List<Integer>> groups = new LinkedHashMap<>();
+        for (int i = 0; i < workers.size(); i++) {
+            groups.computeIfAbsent(key.apply(workers.get(i)), k -> new ArrayList<>()).add(i);
+        }
+        List<Domain> list = new ArrayList<>();
+        int[] owner = new int[workers.size()];
+        groups.forEach(
+                (name, members) -> {
+                    members.forEach(w -> owner[w] = list.size());
+                    list.add(new Domain(name, members.stream().mapToInt(w -> w).toArray()));
+                });
+        domains.put(adjacency, list);
+        domainOfWorker.put(adjacency, owner);
+    }
+
+    int size() {
+        return workers.size();
+    }
+
+    WorkerView worker(int index) {
+        return workers.get(index);
+    }
+
+    /** Returns the index of a worker, {@link #UNKNOWN} if there is none of this name. */
+    int indexOf(String worker) {
+        return indexes.getOrDefault(worker, UNKNOWN);
+    }
+
+    /** Returns every set of workers that lies within one bound of the adjacency. */
+    List<Domain> domains(Adjacency adjacency) {
+        return domains.get(adjacency);
+    }
+
+    /** Returns the place in {@link #domains} of the domain that holds a worker. */
+    int domainOf(Adjacency adjacency, int worker) {
+        return domainOfWorker.get(adjacency)[worker];
+    }
+}
