Add the stand-ins of log, worker and upstream as programs with faults

Ruled out: Jooby's reply of a returned Context (it renders the context as text unless the route's return type says Context); answers sent from another connection's event loop (Jooby does not flush them), so answers go out from the timer threads. Change: StandInMain with log, worker and upstream; one faults document; records of what was done. Conclusion: usable as processes and inside one JVM.

--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/Program.java
@@ -0,0 +1,168 @@
+package org.fescueloom.standins;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.fescueloom.standins.log.LogStandIn;
+import org.fescueloom.standins.upstream.UpstreamProfile;
+import org.fescueloom.standins.upstream.UpstreamStandIn;
+import org.fescueloom.standins.worker.WorkerIdentity;
+import org.fescueloom.standins.worker.WorkerStandIn;
+import org.fescueloom.wire.WorkerCapacity;
+
+/** Names the programs of this module and starts them with their options. */
+enum Program {
+    /** The log service. */
+    LOG("retain", "appends-per-second") {
+        @Override
+        void start(ProgramOptions options) {
+            LogStandIn log =
+                    new LogStandIn(
+                            options.listen(),
+                            options.number("retain", DEFAULT_RETAIN),
+                            options.number("appends-per-second", DEFAULT_APPENDS_PER_SECOND));
+            log.start();
+            ready(log.address());
+        }
+    },
+    /** A worker. */
+    WORKER("worker", "zone", "rack", "position", "accelerators", "cpus", "memory-mb", "entries") {
+        @Override
+        void start(ProgramOptions options) {
+            WorkerCapacity capacity =
+                    new WorkerCapacity(
+                            options.text("rack"),
+                            options.number("position", 0),
+                            options.number("accelerators", DEFAULT_ACCELERATORS),
+                            options.number("cpus", DEFAULT_CPUS),
+                            options.number("memory-mb", DEFAULT_MEMORY_MB));
+            WorkerIdentity identity =
+                    new WorkerIdentity(options.text("worker"), options.text("zone"), capacity);
+            WorkerStandIn worker =
+                    new WorkerStandIn(options.listen(), identity, options.list("entries"));
+            worker.start();
+            ready(worker.address());
+        }
+    },
+    /** An upstream. */
+    UPSTREAM(
+            "upstream",
+            "slots",
+            "connections",
+            "service-millis",
+            "spread",
+            "speed",
+            "seed",
+            "agent",
+            "records") {
+        @Override
+        void start(ProgramOptions options) {
+            String id = options.text("upstream");
+            UpstreamProfile profile =
+                    new UpstreamProfile(
+                            id,
+                            options.number("slots", UpstreamProfile.DEFAULT_SLOTS),
+                            options.number("connections", UpstreamProfile.DEFAULT_CONNECTIONS),
+                            options.decimal("service-millis", DEFAULT_SERVICE_MILLIS),
+                            options.decimal("spread", DEFAULT_SPREAD),
+                            options.decimal("speed", 1.0),
+                            options.number("seed", id.hashCode()),
+                            options.textOrNull("agent"),
+                            options.textOrNull("records") == null
+                                    ? null
+                                    : Path.of(options.text("records")));
+            UpstreamStandIn upstream = new UpstreamStandIn(options.listen(), profile);
+            upstream.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(upstream)));
+            ready(upstream.address());
+        }
+    };
+
+    private static final int DEFAULT_RETAIN = 100_000;
+    private static final int DEFAULT_APPENDS_PER_SECOND = 400;
+    private static final int DEFAULT_ACCELERATORS = 8;
+    private static final int DEFAULT_CPUS = 32;
+    private static final int DEFAULT_MEMORY_MB = 131_072;
+    private static final double DEFAULT_SERVICE_MILLIS = 20.0;
+    private static final double DEFAULT_SPREAD = 0.5;
+    private static final Duration DRAIN_LIMIT = Duration.ofSeconds(60L);
+
+    private final String[] flags;
+
+    Program(String... flags) {
+        this.flags = flags;
+    }
+
+    /** Starts the program; it goes on after the return. */
+    abstract void start(ProgramOptions options);
+
+    /**
+     * Reads the options and starts the program.
+     *
+     * @param args the options, not null
+     * @throws ParseException if an option is not known or has no value
+     */
+    void run(String[] args) throws ParseException {
+        Options known = new Options();
+        known.addOption(null, ProgramOptions.LISTEN, true, "address:port to listen on");
+        for (String flag : flags) {
+            known.addOption(null, flag, true, null);
+        }
+        CommandLine line = new DefaultParser().parse(known, args);
+        if (!line.getArgList().isEmpty()) {
+            throw new ParseException("not an option: " + line.getArgList().get(0));
+        }
+        start(new ProgramOptions(line));
+    }
+
+    /**
+     * Finds a program.
+     *
+     * @param name its name in lower case, not null
+     * @return the program, never null
+     * @throws IllegalArgumentException if there is none
+     */
+    static Program named(String name) {
+        return Arrays.stream(values())
+                .filter(p -> p.text().equals(name))
+                .findFirst()
+                .orElseThrow(
+                        () ->
+                                new IllegalArgumentException(
+                                        "no program " + name + "; known: " + names()));
+    }
+
+    /**
+     * Lists the names of all programs.
+     *
+     * @return the names, with commas between them
+     */
+    static String names() {
+        List<Program> all = List.of(values());
+        return all.stream().map(Program::text).collect(Collectors.joining(", "));
+    }
+
+    private String text() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    private static void ready(String address) {
+        System.out.println("listening " + address);
+        System.out.flush();
+    }
+
+    private static void leave(UpstreamStandIn upstream) {
+        try {
+            upstream.leave(DRAIN_LIMIT);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/ProgramOptions.java
@@ -0,0 +1,94 @@
+package org.fescueloom.standins;
+
+import java.util.Arrays;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+
+/** Reads the options of a program as typed values. */
+public final class ProgramOptions {
+    /** The option that names where a program listens. */
+    static final String LISTEN = "listen";
+
+    private final CommandLine line;
+
+    /**
+     * Wraps a parsed command line.
+     *
+     * @param line the command line, not null
+     */
+    ProgramOptions(CommandLine line) {
+        this.line = line;
+    }
+
+    /**
+     * Returns where the program is to listen.
+     *
+     * @return the address, any free port on loopback if the option is absent
+     */
+    public ListenAddress listen() {
+        String text = line.getOptionValue(LISTEN);
+        return text == null ? ListenAddress.ANY : ListenAddress.parse(text);
+    }
+
+    /**
+     * Returns an option that must be there.
+     *
+     * @param name the option, not null
+     * @return the text, never null
+     * @throws IllegalArgumentException if the option is absent
+     */
+    public String text(String name) {
+        String text = line.getOptionValue(name);
+        if (text == null) {
+            throw new IllegalArgumentException("option --" + name + " is missing");
+        }
+        return text;
+    }
+
+    /**
+     * Returns an option that may be absent.
+     *
+     * @param name the option, not null
+     * @return the text, null if the option is absent
+     */
+    public String textOrNull(String name) {
+        return line.getOptionValue(name);
+    }
+
+    /**
+     * Returns a list with commas between its parts.
+     *
+     * @param name the option, not null
+     * @return the parts, empty if the option is absent
+     */
+    public List<String> list(String name) {
+        String text = line.getOptionValue(name, "");
+        return Arrays.stream(text.split(",")).filter(part -> !part.isBlank()).toList();
+    }
+
+    /**
+     * Returns a whole number.
+     *
+     * @param name the option, not null
+     * @param fallback the number if the option is absent
+     * @return the number
+     * @throws NumberFormatException if the option is no whole number
+     */
+    public int number(String name, int fallback) {
+        String text = line.getOptionValue(name);
+        return text == null ? fallback : Integer.parseInt(text);
+    }
+
+    /**
+     * Returns a number with a fraction.
+     *
+     * @param name the option, not null
+     * @param fallback the number if the option is absent
+     * @return the number
+     * @throws NumberFormatException if the option is no number
+     */
+    public double decimal(String name, double fallback) {
+        String text = line.getOptionValue(name);
+        return text == null ? fallback : Double.parseDouble(text);
+    }
+}
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/StandInServer.java
@@ -0,0 +1,235 @@
+package org.fescueloom.standins;
+
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.Server;
+import io.jooby.ServerOptions;
+import io.jooby.netty.NettyServer;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.json.Json;
+import org.tinylog.Logger;
+
+/**
+ * Serves the calls of one stand-in over HTTP and shows the faults that all stand-ins have in
+ * common.
+ *
+ * <p>Routes are added before {@link #start()}. The calls under {@code /faults} and {@code /records}
+ * never meet a fault.
+ */
+public final class StandInServer implements AutoCloseable {
+    private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+
+    /** Bodies up to this size stay in memory; Jooby writes longer ones to a file. */
+    private static final int BUFFER_BYTES = 4 * 1024 * 1024;
+
+    private static final int IO_THREADS = 2;
+    private static final int START_TRIES = 5;
+
+    private final ListenAddress listen;
+    private final Jooby app = new Jooby();
+    private final FaultPlan faults = new FaultPlan();
+    private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(2);
+    private Server server;
+    private int port;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param listen where it will listen, not null
+     * @param records gives what the stand-in really did, for {@code GET /records}, not null
+     */
+    public StandInServer(ListenAddress listen, Supplier<?> records) {
+        this.listen = listen;
+        timers.setRemoveOnCancelPolicy(true);
+        plain("GET", "/records", request -> StandInReply.json(200, records.get()));
+        plain("GET", "/faults", request -> StandInReply.json(200, faults.current()));
+        plain("PUT", "/faults", this::replaceFaults);
+    }
+
+    /**
+     * Adds a route whose calls meet the faults that are in force.
+     *
+     * @param method the HTTP method, not null
+     * @param pattern the path with variable parts in braces, not null
+     * @param handler answers the calls, not null
+     */
+    public void route(String method, String pattern, StandInHandler handler) {
+        serve(method, pattern, request -> withFaults(request, handler));
+    }
+
+    /**
+     * Adds a route whose calls never meet a fault.
+     *
+     * @param method the HTTP method, not null
+     * @param pattern the path with variable parts in braces, not null
+     * @param handler answers the calls, not null
+     */
+    public void plain(String method, String pattern, ReplyFunction handler) {
+        serve(method, pattern, r -> CompletableFuture.completedFuture(handler.reply(r)));
+    }
+
+    /** Starts to listen; a port that is taken meanwhile is replaced by another free one. */
+    public void start() {
+        System.setProperty("jooby.useShutdownHook", "false");
+        for (int i = 1; server == null; i++) {
+            try {
+                server = new NettyServer().setOptions(options()).start(app);
+            } catch (RuntimeException e) {
+                if (i == START_TRIES || listen.port() != 0) {
+                    throw e;
+                }
+                Logger.warn(e, "port was taken; trying another one");
+            }
+        }
+    }
+
+    /**
+     * Returns the port on which this server listens.
+     *
+     * @return the port, 0 before the start
+     */
+    public int port() {
+        return port;
+    }
+
+    /**
+     * Returns where this server listens.
+     *
+     * @return the address as "address:port", never null
+     */
+    public String address() {
+        return listen.host() + ":" + port;
+    }
+
+    /**
+     * Returns the plan that decides which calls meet a fault.
+     *
+     * @return the plan, never null
+     */
+    public FaultPlan faults() {
+        return faults;
+    }
+
+    /**
+     * Returns the executor of delays and timed work.
+     *
+     * @return the executor, never null
+     */
+    public ScheduledExecutorService timers() {
+        return timers;
+    }
+
+    @Override
+    public void close() {
+        timers.shutdownNow();
+        if (server != null) {
+            server.stop();
+        }
+    }
+
+    private ServerOptions options() {
+        ServerOptions options = new ServerOptions();
+        options.setPort(listen.port());
+        options.setHost(listen.host());
+        options.setIoThreads(IO_THREADS);
+        options.setWorkerThreads(1);
+        options.setBufferSize(BUFFER_BYTES);
+        options.setMaxRequestSize(MAX_BODY_BYTES);
+        options.setDefaultHeaders(false);
+        port = options.getPort();
+        return options;
+    }
+
+    private StandInReply replaceFaults(StandInRequest request) {
+        faults.replace(Json.readStrict(request.body(), Faults.class));
+        return StandInReply.json(200, faults.current());
+    }
+
+    private void serve(String method, String pattern, StandInHandler handler) {
+        app.route(method, pattern, context -> answer(context, handler))
+                .setNonBlocking(true)
+                .setReturnType(Context.class);
+    }
+
+    private Object answer(Context context, StandInHandler handler) {
+        StandInRequest request = request(context);
+        CompletableFuture<StandInReply> reply;
+        try {
+            reply = handler.handle(request);
+        } catch (RuntimeException e) {
+            reply = CompletableFuture.completedFuture(failure(e));
+        }
+        reply.exceptionally(StandInServer::failure)
+                .thenAcceptAsync(r -> ReplyWriter.write(context, r), timers);
+        return context;
+    }
+
+    private static StandInRequest request(Context context) {
+        Map<String, String> headers = context.headerMap();
+        byte[] body = "GET".equals(context.getMethod()) ? new byte[0] : context.body().bytes();
+        return new StandInRequest(
+                context.getRequestPath(), context.pathMap(), context.queryMap(), headers, body);
+    }
+
+    private static StandInReply failure(Throwable e) {
+        Throwable cause = e.getCause() == null ? e : e.getCause();
+        if (e instanceof SchedulerException s) {
+            return StandInReply.failure(s.type().status(), s.type(), s.getMessage());
+        }
+        if (cause instanceof IllegalArgumentException) {
+            return StandInReply.failure(400, FailureType.INVALID_FIELD, cause.toString());
+        }
+        Logger.error(e, "call failed");
+        return StandInReply.failure(500, FailureType.INTERNAL, cause.toString());
+    }
+
+    private CompletableFuture<StandInReply> withFaults(
+            StandInRequest request, StandInHandler handler) {
+        String path = request.path();
+        if (faults.meet(FaultKind.FREEZE, path).isPresent()) {
+            return CompletableFuture.completedFuture(StandInReply.none(StandInReply.Form.NEVER));
+        }
+        if (faults.meet(FaultKind.CLOSE, path).isPresent()) {
+            return CompletableFuture.completedFuture(StandInReply.none(StandInReply.Form.CLOSED));
+        }
+        if (faults.meet(FaultKind.REFUSE, path).isPresent()) {
+            return CompletableFuture.completedFuture(refusal());
+        }
+        boolean lost = faults.meet(FaultKind.LOSE_ANSWER, path).isPresent();
+        Optional<Fault> delay = faults.meet(FaultKind.DELAY, path);
+        CompletableFuture<StandInReply> reply =
+                delay.map(d -> after(d.millis()).thenCompose(nothing -> handler.handle(request)))
+                        .orElseGet(() -> handler.handle(request));
+        return lost ? reply.thenApply(r -> StandInReply.none(StandInReply.Form.CLOSED)) : reply;
+    }
+
+    private CompletableFuture<Void> after(long millis) {
+        CompletableFuture<Void> due = new CompletableFuture<>();
+        timers.schedule(() -> due.complete(null), millis, TimeUnit.MILLISECONDS);
+        return due;
+    }
+
+    private static StandInReply refusal() {
+        return StandInReply.failure(503, FailureType.OVERLOADED, "a fault refuses this call");
+    }
+
+    /** Computes an answer at once. */
+    @FunctionalInterface
+    public interface ReplyFunction {
+        /**
+         * Answers a call.
+         *
+         * @param request the call, not null
+         * @return the answer, never null
+         */
+        StandInReply reply(StandInRequest request);
+    }
+}
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/upstream/UpstreamRegistrar.java
@@ -0,0 +1,93 @@
+package org.fescueloom.standins.upstream;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.fescueloom.json.Json;
+import org.fescueloom.standins.StandInReply;
+import org.fescueloom.wire.UpstreamRegistration;
+import org.tinylog.Logger;
+
+/** Registers an upstream with its agent. */
+final class UpstreamRegistrar implements AutoCloseable {
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2L);
+    private static final MediaType JSON = MediaType.get(StandInReply.JSON);
+
+    private final String agent;
+    private final OkHttpClient client =
+            new OkHttpClient.Builder()
+                    .callTimeout(CALL_TIMEOUT)
+                    .retryOnConnectionFailure(false)
+                    .build();
+
+    /**
+     * Creates a registrar.
+     *
+     * @param agent the address of the agent; null to register nowhere
+     */
+    UpstreamRegistrar(String agent) {
+        this.agent = agent;
+    }
+
+    /**
+     * Registers; an agent that cannot be reached is passed over.
+     *
+     * @param registration the registration, not null
+     * @return completes when the agent has answered or failed, never with an error
+     */
+    CompletableFuture<Void> register(UpstreamRegistration registration) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        if (agent == null) {
+            done.complete(null);
+            return done;
+        }
+        Request request =
+                new Request.Builder()
+                        .url("http://" + agent + "/v1/upstream")
+                        .put(RequestBody.create(Json.write(registration), JSON))
+                        .build();
+        client.newCall(request).enqueue(new Completion(done));
+        return done;
+    }
+
+    /**
+     * Registers and waits for the answer.
+     *
+     * @param registration the registration, not null
+     */
+    void registerAndWait(UpstreamRegistration registration) {
+        try {
+            register(registration).join();
+        } catch (CompletionException e) {
+            Logger.warn(e, "registration failed");
+        }
+    }
+
+    @Override
+    public void close() {
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+
+    private record Completion(CompletableFuture<Void> done) implements Callback {
+        @Override
+        public void onFailure(Call call, IOException e) {
+            Logger.debug("agent is not reachable: {}", e.getMessage());
+            done.complete(null);
+        }
+
+        @Override
+        public void onResponse(Call call, Response response) {
+            response.close();
+            done.complete(null);
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** The stand-in of a customer's upstream. */
+package org.fescueloom.standins.upstream;
--- /dev/null
+++ b/fescueloom-standins/src/test/java/org/fescueloom/standins/log/LogStandInTest.java
@@ -0,0 +1,133 @@
+package org.fescueloom.standins.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.fescueloom.standins.TestHttp.call;
+
+import com.fasterxml.jackson.databind.node.IntNode;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.fescueloom.log.LogPage;
+import org.fescueloom.log.LogRecord;
+import org.fescueloom.log.NewRecord;
+import org.fescueloom.standins.Fault;
+import org.fescueloom.standins.FaultKind;
+import org.fescueloom.standins.Faults;
+import org.fescueloom.standins.ListenAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class LogStandInTest {
+    private static final int RETAIN = 10;
+    private final LogStandIn log = new LogStandIn(ListenAddress.ANY, RETAIN, 400);
+
+    @BeforeEach
+    void start() {
+        log.start();
+    }
+
+    @AfterEach
+    void close() {
+        log.close();
+    }
+
+    private long append(int... values) throws IOException {
+        List<NewRecord> records =
+                IntStream.of(values).mapToObj(v -> new NewRecord("r" + v, new IntNode(v))).toList();
+        Map<?, ?> reply =
+                call("POST", log.address(), "/v1/streams/jobs/records", Map.of("records", records))
+                        .as(Map.class);
+        return ((Number) reply.get("offset")).longValue();
+    }
+
+    private LogPage read(String query, int status) throws IOException {
+        var answer = call("GET", log.address(), "/v1/streams/jobs/records?" + query, null);
+        assertThat(answer.status()).isEqualTo(status);
+        return answer.as(LogPage.class);
+    }
+
+    @Nested
+    class Appends {
+        @Test
+        void keepsTheRecordsOfOneCallTogetherAndInOrder() throws IOException {
+            assertThat(append(1, 2)).isZero();
+            assertThat(append(3)).isEqualTo(2L);
+            LogPage page = read("from=1&max=5", 200);
+            assertThat(page.records()).extracting(LogRecord::id).containsExactly("r2", "r3");
+            assertThat(page.next()).isEqualTo(3L);
+        }
+
+        @Test
+        void answersGoneBelowTheFirstKeptRecord() throws IOException {
+            for (int i = 0; i < RETAIN + 2; i++) {
+                append(i);
+            }
+            LogPage gone = read("from=1", 410);
+            assertThat(gone.first()).isEqualTo(2L);
+            assertThat(gone.records()).isEmpty();
+        }
+    }
+
+    @Nested
+    class LongPoll {
+        @Test
+        void answersAtTheNextAppend() throws Exception {
+            CompletableFuture<LogPage> waiting =
+                    CompletableFuture.supplyAsync(
+                            () -> {
+                                try {
+                                    return read("from=0&waitMillis=15000", 200);
+                                } catch (IOException e) {
+                                    throw new java.io.UncheckedIOException(e);
+                                }
+                            });
+            Thread.sleep(200);
+            append(7);
+            assertThat(waiting.get(5, TimeUnit.SECONDS).records()).hasSize(1);
+        }
+
+        @Test
+        void answersEmptyWhenTheWaitIsOver() throws IOException {
+            assertThat(read("from=0&waitMillis=50", 200).records()).isEmpty();
+        }
+    }
+
+    @Nested
+    class ShownFaults {
+        @Test
+        void refusesWithoutTheEffect() throws IOException {
+            call("PUT", log.address(), "/faults", Faults.of(Fault.always(FaultKind.REFUSE)));
+            var answer =
+                    call("POST", log.address(), "/v1/streams/jobs/records", Map.of("records", 1));
+            assertThat(answer.status()).isEqualTo(503);
+            assertThat(log.records()).isEmpty();
+        }
+
+        @Test
+        void losesTheAnswerAfterTheEffect() {
+            log.faults(Faults.of(Fault.always(FaultKind.LOSE_ANSWER).withTimes(1)));
+            assertThatThrownBy(() -> append(1)).isInstanceOf(IOException.class);
+            assertThat(log.records().get("jobs").records()).hasSize(1);
+        }
+
+        @Test
+        void closesTheConnectionWithoutTheEffect() throws IOException {
+            log.faults(Faults.of(Fault.always(FaultKind.CLOSE).withTimes(1)));
+            assertThatThrownBy(() -> append(1)).isInstanceOf(IOException.class);
+            assertThat(append(2)).isZero();
+        }
+
+        @Test
+        void expiresRecords() throws IOException {
+            append(1, 2, 3, 4);
+            log.faults(Faults.of(Fault.expire(1)));
+            assertThat(read("from=0", 410).first()).isEqualTo(3L);
+        }
+    }
+}
