Add the agent's side of the request path

Cause: nothing served attempts of the entries at an upstream. Ruled out: an attempt registry keyed by time alone; a late attempt could start after its tombstone was forgotten, so attempts are numbered per issuer and a forgotten number bars all lower ones. Change: core packages for attempts, admission, selection and retries; the agent service. HttpClient reports an answer that was cut short as TruncatedAnswerException (tiny, additive).

--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/AttemptResolution.java
@@ -0,0 +1,23 @@
+package org.fescueloom.request;
+
+import java.util.Objects;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.wire.AttemptState;
+
+/**
+ * Tells what an agent knows of an attempt.
+ *
+ * @param state the state, not null
+ * @param answer the answer of the upstream; null in all states but {@code ANSWERED}
+ * @param failure the failure that ended the attempt; null if it did not fail
+ */
+public record AttemptResolution(AttemptState state, AttemptAnswer answer, FailureType failure) {
+    /** Checks that the state is given. */
+    public AttemptResolution {
+        Objects.requireNonNull(state, "state");
+    }
+
+    static AttemptResolution of(AttemptState state) {
+        return new AttemptResolution(state, null, null);
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AttemptScheduler.java
@@ -0,0 +1,282 @@
+package org.fescueloom.daemon.agent;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.fescueloom.config.ConfigurationDocument;
+import org.fescueloom.config.CustomerPolicy;
+import org.fescueloom.config.ServiceClass;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.request.AdmissionLimits;
+import org.fescueloom.request.AdmissionQueue;
+import org.fescueloom.request.AttemptAnswer;
+import org.fescueloom.request.AttemptId;
+import org.fescueloom.request.AttemptRegistry;
+import org.fescueloom.request.AttemptResolution;
+import org.fescueloom.request.QueuedAttempt;
+import org.fescueloom.wire.AgentStatus;
+import org.fescueloom.wire.AttemptState;
+import org.fescueloom.wire.UpstreamRegistration;
+
+/**
+ * Keeps the attempts of one agent from their arrival to their end, and tells which one starts next.
+ *
+ * <p>Can be used by many threads; futures are never completed while the lock is held.
+ */
+final class AttemptScheduler {
+    private static final AdmissionLimits LIMITS = new AdmissionLimits(512, 256, 16L << 20);
+    private static final long RETENTION_NANOS = 60_000_000_000L;
+    private static final long MAX_ANSWER_BYTES = 16L << 20;
+    private static final int MAX_FINISHED = 20_000;
+
+    private final LongSupplier nanoTime;
+    private final StartGate gate;
+    private final Supplier<ConfigurationDocument> config;
+    private final UpstreamLink link = new UpstreamLink();
+    private final AttemptRegistry registry =
+            new AttemptRegistry(RETENTION_NANOS, MAX_ANSWER_BYTES, MAX_FINISHED);
+    private final AdmissionQueue<PendingAttempt> queue =
+            new AdmissionQueue<>(LIMITS, this::guaranteedShare);
+    private final Map<AttemptId, QueuedAttempt<PendingAttempt>> pending = new HashMap<>();
+    private boolean draining;
+
+    /**
+     * Creates a scheduler without an upstream.
+     *
+     * @param nanoTime the monotonic clock, not null
+     * @param gate decides whether work may start, not null
+     * @param config the configuration in force, not null
+     */
+    AttemptScheduler(
+            LongSupplier nanoTime, StartGate gate, Supplier<ConfigurationDocument> config) {
+        this.nanoTime = Objects.requireNonNull(nanoTime, "nanoTime");
+        this.gate = Objects.requireNonNull(gate, "gate");
+        this.config = Objects.requireNonNull(config, "config");
+    }
+
+    /** Is an attempt that has a slot and must be sent to the upstream now. */
+    record Start(PendingAttempt attempt, UpstreamRegistration upstream) {}
+
+    /** Is an attempt that was given up without having started. */
+    record Refusal(PendingAttempt attempt, SchedulerException failure) {}
+
+    /** Holds what is to be done once the lock is free. */
+    record Work(List<Start> starts, List<Refusal> refusals) {
+        static Work none() {
+            return new Work(new ArrayList<>(), new ArrayList<>());
+        }
+    }
+
+    /**
+     * Takes a registration of the upstream.
+     *
+     * @param registration the registration, not null
+     * @return true if it differs from the last one
+     */
+    synchronized boolean register(UpstreamRegistration registration) {
+        queue.setSlots(registration.slots());
+        return link.register(registration, nanoTime.getAsLong());
+    }
+
+    /**
+     * Takes in an attempt.
+     *
+     * @param attempt the attempt, not null
+     * @throws SchedulerException if it is refused; then it did not run and never will
+     */
+    synchronized void accept(PendingAttempt attempt) {
+        long now = nanoTime.getAsLong();
+        if (draining) {
+            throw new SchedulerException(
+                    FailureType.SHUTTING_DOWN, "the agent is shutting down", queue.backlogMillis());
+        }
+        link.requireReady(now);
+        gate.check();
+        registry.accept(attempt.id);
+        QueuedAttempt<PendingAttempt> queued =
+                new QueuedAttempt<>(
+                        attempt,
+                        attempt.customer,
+                        attempt.serviceClass,
+                        priority(attempt.serviceClass),
+                        attempt.deadlineNanos,
+                        attempt.body().length);
+        try {
+            queue.offer(queued, now);
+        } catch (SchedulerException e) {
+            registry.cancel(attempt.id, now);
+            throw e;
+        }
+        pending.put(attempt.id, queued);
+    }
+
+    /**
+     * Gives free slots to waiting attempts and gives up those that are too late.
+     *
+     * @return what is to be done, never null
+     */
+    synchronized Work next() {
+        long now = nanoTime.getAsLong();
+        Work work = Work.none();
+        for (QueuedAttempt<PendingAttempt> late : queue.removeLate(now)) {
+            refuse(late, tooLate(), work, now);
+        }
+        for (var next = queue.poll(); next.isPresent(); next = queue.poll()) {
+            startOrRefuse(next.get(), work, now);
+        }
+        registry.expire(now);
+        return work;
+    }
+
+    /**
+     * Records how an attempt ended.
+     *
+     * @param attempt the attempt, not null
+     * @param answer the whole answer; null if there is none
+     * @param failure the failure; null if there is an answer
+     * @param elapsedNanos how long it ran, in nanoseconds
+     */
+    synchronized void finish(
+            PendingAttempt attempt,
+            AttemptAnswer answer,
+            SchedulerException failure,
+            long elapsedNanos) {
+        long now = nanoTime.getAsLong();
+        QueuedAttempt<PendingAttempt> queued = pending.remove(attempt.id);
+        if (answer == null) {
+            registry.fail(attempt.id, failure.type(), now);
+        } else {
+            registry.answer(attempt.id, answer, now);
+        }
+        queue.finish(queued, elapsedNanos, answer != null && answer.isSuccess(), now);
+    }
+
+    /**
+     * Makes the fate of an attempt definite; one that has not started is cancelled.
+     *
+     * @param id the attempt, not null
+     * @param keepQueued whether an attempt that waits is left waiting and reported as running
+     * @param work takes the refusal of an attempt that waited, not null
+     * @return what is known, never null
+     */
+    synchronized AttemptResolution resolve(AttemptId id, boolean keepQueued, Work work) {
+        QueuedAttempt<PendingAttempt> queued = pending.get(id);
+        if (queued != null && keepQueued) {
+            return new AttemptResolution(AttemptState.RUNNING, null, null);
+        }
+        long now = nanoTime.getAsLong();
+        if (queued != null && queue.remove(queued)) {
+            refuse(queued, cancelled(id), work, now);
+        }
+        return registry.resolve(id, now);
+    }
+
+    /**
+     * Finds an attempt that has not ended.
+     *
+     * @param id the attempt, not null
+     * @return the attempt; null if there is none
+     */
+    synchronized PendingAttempt find(AttemptId id) {
+        QueuedAttempt<PendingAttempt> queued = pending.get(id);
+        return queued == null ? null : queued.work();
+    }
+
+    /** Refuses new attempts from now on. */
+    synchronized void drain() {
+        draining = true;
+    }
+
+    /**
+     * Tells whether the agent takes no new attempts.
+     *
+     * @return true while it shuts down or its upstream is leaving
+     */
+    synchronized boolean isLeaving() {
+        return draining
+                || link.current(nanoTime.getAsLong())
+                        .map(UpstreamRegistration::leaving)
+                        .orElse(false);
+    }
+
+    /**
+     * Returns what the upstream can take.
+     *
+     * @return the status; null without an upstream
+     */
+    synchronized AgentStatus status() {
+        return link.current(nanoTime.getAsLong())
+                .map(
+                        upstream ->
+                                new AgentStatus(
+                                        upstream.upstream(),
+                                        upstream.slots(),
+                                        queue.running(),
+                                        queue.queued(),
+                                        queue.serviceMicros()))
+                .orElse(null);
+    }
+
+    /**
+     * Returns how many attempts have not ended.
+     *
+     * @return the number, not negative
+     */
+    synchronized int unfinished() {
+        return pending.size();
+    }
+
+    private void startOrRefuse(QueuedAttempt<PendingAttempt> next, Work work, long now) {
+        PendingAttempt attempt = next.work();
+        try {
+            UpstreamRegistration upstream =
+                    link.current(now)
+                            .orElseThrow(
+                                    () ->
+                                            new SchedulerException(
+                                                    FailureType.NO_UPSTREAM,
+                                                    "the upstream fell silent",
+                                                    queue.backlogMillis()));
+            gate.check();
+            if (!registry.start(attempt.id)) {
+                throw cancelled(attempt.id);
+            }
+            work.starts().add(new Start(attempt, upstream));
+        } catch (SchedulerException e) {
+            queue.finish(next, 0, false, now);
+            refuse(next, e, work, now);
+        }
+    }
+
+    private void refuse(
+            QueuedAttempt<PendingAttempt> queued, SchedulerException e, Work work, long now) {
+        pending.remove(queued.work().id);
+        registry.cancel(queued.work().id, now);
+        work.refusals().add(new Refusal(queued.work(), e));
+    }
+
+    private SchedulerException tooLate() {
+        return new SchedulerException(
+                FailureType.DEADLINE_UNREACHABLE,
+                "waited until the deadline could not be met",
+                queue.backlogMillis());
+    }
+
+    private static SchedulerException cancelled(AttemptId id) {
+        return new SchedulerException(
+                FailureType.ATTEMPT_CANCELLED, "attempt " + id + " was cancelled");
+    }
+
+    private double guaranteedShare(String customer) {
+        return config.get().customer(customer).map(CustomerPolicy::guaranteedShare).orElse(0.0);
+    }
+
+    private int priority(String serviceClass) {
+        return config.get().serviceClass(serviceClass).map(ServiceClass::priority).orElse(0);
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/UpstreamClient.java
@@ -0,0 +1,98 @@
+package org.fescueloom.daemon.agent;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import okhttp3.MediaType;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.fescueloom.daemon.http.HttpAnswer;
+import org.fescueloom.daemon.http.HttpClient;
+import org.fescueloom.daemon.http.TruncatedAnswerException;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.request.AttemptAnswer;
+import org.fescueloom.wire.Headers;
+import org.fescueloom.wire.UpstreamRegistration;
+
+/** Sends attempts to the upstream beside this agent and judges what comes back. */
+final class UpstreamClient implements AutoCloseable {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    private final HttpClient client;
+
+    /**
+     * Creates a client.
+     *
+     * @param maxCalls the most calls in flight, at least 1
+     */
+    UpstreamClient(int maxCalls) {
+        client = new HttpClient(maxCalls, CONNECT_TIMEOUT);
+    }
+
+    /**
+     * Sends an attempt.
+     *
+     * @param attempt the attempt, not null
+     * @param upstream the upstream, not null
+     * @param timeout the time after which the attempt counts as lost, not null
+     * @return a future of the whole answer; it fails with a {@link SchedulerException} whose
+     *     outcome tells what became of the attempt
+     */
+    CompletableFuture<AttemptAnswer> send(
+            PendingAttempt attempt, UpstreamRegistration upstream, Duration timeout) {
+        RequestBody body = RequestBody.create(attempt.body(), MediaType.parse(attempt.contentType));
+        Request request =
+                new Request.Builder()
+                        .url(
+                                "http://"
+                                        + upstream.address()
+                                        + "/v1/classes/"
+                                        + attempt.serviceClass
+                                        + "/requests")
+                        .header(Headers.REQUEST_ID, attempt.requestId)
+                        .header(Headers.ATTEMPT_ID, attempt.id.toString())
+                        .header(Headers.CUSTOMER, attempt.customer)
+                        .post(body)
+                        .build();
+        return client.send(request, timeout)
+                .handle((answer, error) -> error == null ? judge(attempt, answer) : fail(error));
+    }
+
+    /** Ends all calls. */
+    @Override
+    public void close() {
+        client.close();
+    }
+
+    private static AttemptAnswer judge(PendingAttempt attempt, HttpAnswer answer) {
+        String echoed = answer.header(Headers.ATTEMPT_ID).orElse("");
+        if (!echoed.equals(attempt.id.toString())) {
+            throw new SchedulerException(
+                    FailureType.UPSTREAM_INVALID_ANSWER,
+                    "the answer belongs to attempt '" + echoed + "', not to " + attempt.id);
+        }
+        return new AttemptAnswer(
+                answer.status(), answer.header("Content-Type").orElse(null), answer.body());
+    }
+
+    private static AttemptAnswer fail(Throwable error) {
+        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        if (cause instanceof ConnectException) {
+            throw failure(FailureType.UPSTREAM_UNREACHABLE, "connection refused", cause);
+        }
+        if (cause instanceof TruncatedAnswerException) {
+            throw failure(FailureType.UPSTREAM_INVALID_ANSWER, "the answer was cut short", cause);
+        }
+        if (cause instanceof IOException) {
+            throw failure(FailureType.OUTCOME_UNKNOWN, "the upstream was lost", cause);
+        }
+        throw failure(FailureType.OUTCOME_UNKNOWN, "the call failed", cause);
+    }
+
+    private static SchedulerException failure(FailureType type, String detail, Throwable cause) {
+        return new SchedulerException(type, detail + ": " + cause.getMessage(), 0L, cause);
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
@@ -125,7 +125,7 @@
                 byte[] body = response.body() == null ? new byte[0] : response.body().bytes();
                 answer.complete(new HttpAnswer(response.code(), response.headers(), body));
             } catch (IOException e) {
-                answer.completeExceptionally(e);
+                answer.completeExceptionally(new TruncatedAnswerException(e));
             }
         }
     }
