Add the entry's side of the request path

Cause: no entry took requests from callers. Ruled out: leaving silence to a read timeout; it cannot tell a slow answer from a dead connection. HttpClient.closeIdle (tiny, additive). Conclusion: to be shown by a test over real sockets next.

--- a/fescueloom-core/src/main/java/org/fescueloom/request/AdmissionQueue.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/AdmissionQueue.java
@@ -130,8 +130,7 @@
      *     does not
      * @param nowNanos the time
      */
-    public void finish(
-            QueuedAttempt<T> attempt, long elapsedNanos, boolean useful, long nowNanos) {
+    public void finish(QueuedAttempt<T> attempt, long elapsedNanos, boolean useful, long nowNanos) {
         Lane<T> lane = lane(attempt.customer());
         lane.virtualTime += (elapsedNanos - estimatedServiceNanos()) / lane.share();
         lane.running = Math.max(0, lane.running - 1);
--- a/fescueloom-core/src/main/java/org/fescueloom/request/QueuedAttempt.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/QueuedAttempt.java
@@ -14,7 +14,12 @@
  * @param bytes the memory that the attempt holds, in bytes, not negative
  */
 public record QueuedAttempt<T>(
-        T work, String customer, String serviceClass, int priority, long deadlineNanos, long bytes) {
+        T work,
+        String customer,
+        String serviceClass,
+        int priority,
+        long deadlineNanos,
+        long bytes) {
     /** Checks that work and customer are given. */
     public QueuedAttempt {
         Objects.requireNonNull(work, "work");
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/RequestProgress.java
@@ -0,0 +1,131 @@
+package org.fescueloom.request;
+
+import java.util.Optional;
+import org.fescueloom.chart.StateChart;
+import org.fescueloom.chart.Transition;
+import org.fescueloom.failure.Outcome;
+
+/**
+ * Follows one request from its arrival to its final answer.
+ *
+ * <p>Holds that a request which is not idempotent is sent again only after a definite "not run",
+ * and that "not run" is reported only if no attempt has run or may have run.
+ *
+ * <p>Not safe for use by several threads at once.
+ */
+public final class RequestProgress {
+    private static final StateChart<RequestState, RequestEvent, RequestAction> CHART =
+            StateChart.load("request", RequestState.class, RequestEvent.class, RequestAction.class);
+
+    private final boolean idempotent;
+    private RequestState state = CHART.initial();
+    private Outcome worst = Outcome.NOT_RUN;
+    private int attempts;
+
+    /**
+     * Creates a request that has just arrived.
+     *
+     * @param idempotent whether the request may run more than once
+     */
+    public RequestProgress(boolean idempotent) {
+        this.idempotent = idempotent;
+    }
+
+    /**
+     * Takes the result of the checks.
+     *
+     * @param claimNeeded whether the identifier must be recorded before the first attempt
+     * @return what to do next, never null
+     */
+    public Optional<RequestAction> accepted(boolean claimNeeded) {
+        return on(claimNeeded ? RequestEvent.CLAIM_NEEDED : RequestEvent.ACCEPTED);
+    }
+
+    /**
+     * Takes the failure of an attempt that the agent reported as binding.
+     *
+     * @param outcome what became of the attempt, not null
+     * @return what to do next, never null
+     */
+    public Optional<RequestAction> attemptFailed(Outcome outcome) {
+        if (isOver() || outcome == Outcome.NOT_RUN) {
+            return on(RequestEvent.NOT_RUN);
+        }
+        if (worst != Outcome.UNKNOWN) {
+            worst = outcome;
+        }
+        if (idempotent) {
+            return on(RequestEvent.REPEATABLE);
+        }
+        return on(outcome == Outcome.RAN ? RequestEvent.FAILED : RequestEvent.UNKNOWN);
+    }
+
+    /**
+     * Takes the decision on another attempt.
+     *
+     * @param allowed whether another attempt is made
+     * @return what to do next, never null
+     */
+    public Optional<RequestAction> retryDecided(boolean allowed) {
+        if (allowed) {
+            return on(RequestEvent.RETRY_ALLOWED);
+        }
+        return on(
+                switch (worst) {
+                    case NOT_RUN -> RequestEvent.EXHAUSTED;
+                    case RAN -> RequestEvent.EXHAUSTED_FAILED;
+                    case UNKNOWN -> RequestEvent.EXHAUSTED_UNKNOWN;
+                });
+    }
+
+    /**
+     * Takes any other event; one that the state does not expect changes nothing.
+     *
+     * @param event the event, not null
+     * @return what to do next, never null
+     */
+    public Optional<RequestAction> on(RequestEvent event) {
+        Transition<RequestState, RequestAction> transition = CHART.next(state, event);
+        state = transition.target();
+        if (transition.action().filter(a -> a == RequestAction.SEND_ATTEMPT).isPresent()) {
+            attempts++;
+        }
+        return transition.action();
+    }
+
+    /**
+     * Returns the state.
+     *
+     * @return the state, never null
+     */
+    public RequestState state() {
+        return state;
+    }
+
+    /**
+     * Tells whether the request has its final answer.
+     *
+     * @return true in a terminal state
+     */
+    public boolean isOver() {
+        return CHART.isTerminal(state);
+    }
+
+    /**
+     * Returns how many attempts were made.
+     *
+     * @return the number, not negative
+     */
+    public int attempts() {
+        return attempts;
+    }
+
+    /**
+     * Returns the worst that became of the attempts so far.
+     *
+     * @return {@code NOT_RUN} if none has run, {@code UNKNOWN} if one may have run
+     */
+    public Outcome worstOutcome() {
+        return worst;
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/AttemptClient.java
@@ -0,0 +1,211 @@
+package org.fescueloom.daemon.entry;
+
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.BiConsumer;
+import okhttp3.MediaType;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.fescueloom.daemon.http.HttpAnswer;
+import org.fescueloom.daemon.http.HttpClient;
+import org.fescueloom.failure.FailureBody;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.request.AttemptAnswer;
+import org.fescueloom.request.AttemptId;
+import org.fescueloom.wire.AgentStatus;
+import org.fescueloom.wire.Announcement;
+import org.fescueloom.wire.AttemptState;
+import org.fescueloom.wire.Headers;
+import org.fescueloom.wire.Occupancy;
+
+/**
+ * Sends attempts to agents, and asks on fresh connections what became of them.
+ *
+ * <p>Connections for attempts are kept open between calls, but all idle ones are closed as soon as
+ * one has fallen silent.
+ */
+final class AttemptClient implements AutoCloseable {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final RequestBody EMPTY = RequestBody.create(new byte[0], null);
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final HttpClient attempts;
+    private final HttpClient fresh;
+    private final BiConsumer<Announcement, AgentStatus> onOccupancy;
+
+    /**
+     * Creates a client.
+     *
+     * @param maxAttempts the most attempts in flight, at least 1
+     * @param maxQuestions the most questions in flight, at least 1
+     * @param onOccupancy takes what agents say of their upstreams, not null
+     */
+    AttemptClient(
+            int maxAttempts, int maxQuestions, BiConsumer<Announcement, AgentStatus> onOccupancy) {
+        this.attempts = new HttpClient(maxAttempts, CONNECT_TIMEOUT);
+        this.fresh = new HttpClient(maxQuestions, CONNECT_TIMEOUT, 0);
+        this.onOccupancy = onOccupancy;
+    }
+
+    /** Is an attempt that was sent; the call ends when it is cancelled. */
+    record Sent(CompletableFuture<HttpAnswer> call, CompletableFuture<AttemptReport> report) {}
+
+    /**
+     * Sends an attempt.
+     *
+     * @param id the attempt, not null
+     * @param input the request, not null
+     * @param agent the agent, not null
+     * @param leftNanos the time until the deadline, in nanoseconds
+     * @param timeout the longest time to wait, not null
+     * @return the call and a future of its report, which never fails
+     */
+    Sent send(
+            AttemptId id,
+            RequestInput input,
+            Announcement agent,
+            long leftNanos,
+            Duration timeout) {
+        Request request =
+                attempt(id, agent, "")
+                        .header(Headers.REQUEST_ID, input.id())
+                        .header(Headers.CUSTOMER, input.customer())
+                        .header(Headers.SERVICE_CLASS, input.serviceClass().name())
+                        .header(Headers.IDEMPOTENT, Boolean.toString(input.idempotent()))
+                        .header(Headers.DEADLINE_MILLIS, Long.toString(leftNanos / 1_000_000))
+                        .post(
+                                RequestBody.create(
+                                        input.body(), MediaType.parse(input.contentType())))
+                        .build();
+        CompletableFuture<HttpAnswer> call = attempts.send(request, timeout);
+        return new Sent(call, call.handle((answer, error) -> sent(id, agent, answer, error)));
+    }
+
+    /**
+     * Asks on a fresh connection what became of an attempt; one that never arrived is cancelled.
+     *
+     * @param id the attempt, not null
+     * @param agent the agent, not null
+     * @param waitMillis how long the agent may wait for the end of the attempt, in milliseconds
+     * @param timeout the longest time to wait for the agent, not null
+     * @return a future of the report, which never fails
+     */
+    CompletableFuture<AttemptReport> resolve(
+            AttemptId id, Announcement agent, long waitMillis, Duration timeout) {
+        String path = "/resolve?queued=keep&waitMillis=" + waitMillis;
+        Request request = attempt(id, agent, path).post(EMPTY).build();
+        return fresh.send(request, timeout)
+                .handle((answer, error) -> resolved(id, agent, answer, error));
+    }
+
+    /**
+     * Tells an agent that nobody waits for an attempt any more.
+     *
+     * @param id the attempt, not null
+     * @param agent the agent, not null
+     */
+    void cancel(AttemptId id, Announcement agent) {
+        fresh.send(attempt(id, agent, "/cancel").post(EMPTY).build(), CONNECT_TIMEOUT);
+    }
+
+    /** Closes the idle connections, because one has fallen silent or they are old. */
+    void retireConnections() {
+        attempts.closeIdle();
+    }
+
+    /** Ends all calls. */
+    @Override
+    public void close() {
+        attempts.close();
+        fresh.close();
+    }
+
+    private static Request.Builder attempt(AttemptId id, Announcement agent, String rest) {
+        return new Request.Builder()
+                .url("http://" + agent.address() + "/internal/attempts/" + id + rest)
+                .header(Headers.AGENT_INCARNATION, Long.toString(agent.incarnation()));
+    }
+
+    private AttemptReport sent(
+            AttemptId id, Announcement agent, HttpAnswer answer, Throwable error) {
+        if (error != null) {
+            Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+            return cause instanceof ConnectException
+                    ? AttemptReport.failed(
+                            FailureType.UPSTREAM_UNREACHABLE, "the agent refused the connection")
+                    : AttemptReport.lost("the connection to the agent was lost: " + cause);
+        }
+        noteOccupancy(agent, answer);
+        if (answer.isSuccess()) {
+            boolean own =
+                    answer.header(Headers.ATTEMPT_ID).filter(id.toString()::equals).isPresent();
+            return own
+                    ? readAnswer(answer)
+                    : AttemptReport.lost("an answer to another attempt came");
+        }
+        return readFailure(answer);
+    }
+
+    private AttemptReport resolved(
+            AttemptId id, Announcement agent, HttpAnswer answer, Throwable error) {
+        if (error != null) {
+            Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+            return cause instanceof ConnectException
+                    ? AttemptReport.refused("nothing listens at the address of the agent")
+                    : AttemptReport.lost("the agent does not answer: " + cause);
+        }
+        noteOccupancy(agent, answer);
+        if (!answer.isSuccess()) {
+            return readFailure(answer);
+        }
+        String state = answer.header(Headers.ATTEMPT_STATE).orElse("");
+        if (state.equals(AttemptState.ANSWERED.text())) {
+            return readAnswer(answer);
+        }
+        if (state.equals(AttemptState.CANCELLED.text())) {
+            return AttemptReport.failed(
+                    FailureType.ATTEMPT_CANCELLED, "attempt " + id + " never started");
+        }
+        if (state.equals(AttemptState.UNKNOWN.text())) {
+            return AttemptReport.failed(
+                    FailureType.OUTCOME_UNKNOWN, "the agent cannot tell whether the attempt ran");
+        }
+        return state.equals(AttemptState.RUNNING.text())
+                ? AttemptReport.running()
+                : AttemptReport.lost("the agent gave no state of the attempt");
+    }
+
+    private static AttemptReport readAnswer(HttpAnswer answer) {
+        Optional<Integer> status = answer.header(Headers.UPSTREAM_STATUS).map(Integer::valueOf);
+        if (status.isEmpty()) {
+            return AttemptReport.lost("the agent gave no status of the upstream");
+        }
+        return AttemptReport.answered(
+                new AttemptAnswer(
+                        status.get(), answer.header("Content-Type").orElse(null), answer.body()));
+    }
+
+    private static AttemptReport readFailure(HttpAnswer answer) {
+        try {
+            FailureBody body = answer.read(FailureBody.class);
+            long retryMillis =
+                    answer.header("Retry-After").map(Long::valueOf).orElse(0L) * MILLIS_PER_SECOND;
+            return AttemptReport.failed(
+                    new SchedulerException(body.error(), body.detail(), retryMillis));
+        } catch (SchedulerException | NumberFormatException e) {
+            return AttemptReport.lost("the agent gave an unreadable answer: " + e.getMessage());
+        }
+    }
+
+    private void noteOccupancy(Announcement agent, HttpAnswer answer) {
+        Optional<String> text = answer.header(Headers.AGENT_OCCUPANCY);
+        if (text.isPresent() && agent.agent() != null) {
+            Occupancy.parse(agent.agent().upstream(), text.get())
+                    .ifPresent(status -> onOccupancy.accept(agent, status));
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestInput.java
@@ -0,0 +1,120 @@
+package org.fescueloom.daemon.entry;
+
+import java.util.UUID;
+import java.util.regex.Pattern;
+import org.fescueloom.config.ConfigurationDocument;
+import org.fescueloom.config.ServiceClass;
+import org.fescueloom.daemon.http.HttpCall;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.wire.Headers;
+
+/**
+ * Holds a request that passed its checks.
+ *
+ * @param id the identifier, not null
+ * @param idFromCaller whether the caller chose the identifier, so that it may repeat the request
+ * @param customer the customer, not null
+ * @param serviceClass the class, not null
+ * @param idempotent whether the request may run more than once
+ * @param deadlineNanos the time by which the answer must be there
+ * @param contentType the content type of the body, not null
+ * @param body the body, not null
+ */
+record RequestInput(
+        String id,
+        boolean idFromCaller,
+        String customer,
+        ServiceClass serviceClass,
+        boolean idempotent,
+        long deadlineNanos,
+        String contentType,
+        byte[] body) {
+    private static final Pattern ID = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
+    private static final String DEFAULT_CONTENT_TYPE = "application/octet-stream";
+
+    /**
+     * Reads and checks a request.
+     *
+     * @param call the call, not null
+     * @param config the configuration in force, not null
+     * @param nowNanos the time
+     * @return the request, never null
+     * @throws SchedulerException with the type of the first fault
+     */
+    static RequestInput read(HttpCall call, ConfigurationDocument config, long nowNanos) {
+        ServiceClass serviceClass = readClass(call, config);
+        String customer = readCustomer(call, config);
+        String id = call.header(Headers.REQUEST_ID).orElse(null);
+        if (id != null && !ID.matcher(id).matches()) {
+            throw new SchedulerException(
+                    FailureType.INVALID_FIELD,
+                    Headers.REQUEST_ID + " must be 1 to 128 of A-Z, a-z, 0-9, '.', '_', ':', '-'");
+        }
+        boolean idempotent = readIdempotent(call);
+        long millis = readDeadline(call, serviceClass);
+        byte[] body = call.body();
+        if (body.length > serviceClass.maxBodyBytes()) {
+            throw new SchedulerException(
+                    FailureType.BODY_TOO_LARGE,
+                    "the body has "
+                            + body.length
+                            + " bytes, class "
+                            + serviceClass.name()
+                            + " allows "
+                            + serviceClass.maxBodyBytes());
+        }
+        return new RequestInput(
+                id == null ? UUID.randomUUID().toString() : id,
+                id != null,
+                customer,
+                serviceClass,
+                idempotent,
+                nowNanos + millis * 1_000_000L,
+                call.header("Content-Type").orElse(DEFAULT_CONTENT_TYPE),
+                body);
+    }
+
+    private static ServiceClass readClass(HttpCall call, ConfigurationDocument config) {
+        String name = call.path("class");
+        return config.serviceClass(name)
+                .orElseThrow(
+                        () ->
+                                new SchedulerException(
+                                        FailureType.UNKNOWN_CLASS, "no class " + name));
+    }
+
+    private static String readCustomer(HttpCall call, ConfigurationDocument config) {
+        String name =
+                call.header(Headers.CUSTOMER)
+                        .orElseThrow(
+                                () ->
+                                        new SchedulerException(
+                                                FailureType.MALFORMED_INPUT,
+                                                "header " + Headers.CUSTOMER + " is missing"));
+        if (config.customer(name).isEmpty()) {
+            throw new SchedulerException(FailureType.UNKNOWN_CUSTOMER, "no customer " + name);
+        }
+        return name;
+    }
+
+    private static boolean readIdempotent(HttpCall call) {
+        String text = call.header(Headers.IDEMPOTENT).orElse("false");
+        if (!text.equals("true") && !text.equals("false")) {
+            throw new SchedulerException(
+                    FailureType.MALFORMED_INPUT,
+                    Headers.IDEMPOTENT + " must be true or false, not " + text);
+        }
+        return text.equals("true");
+    }
+
+    private static long readDeadline(HttpCall call, ServiceClass serviceClass) {
+        long millis = call.headerLong(Headers.DEADLINE_MILLIS, serviceClass.targetMillis());
+        if (millis <= 0) {
+            throw new SchedulerException(
+                    FailureType.INVALID_FIELD,
+                    Headers.DEADLINE_MILLIS + " must be positive, not " + millis);
+        }
+        return Math.min(millis, serviceClass.targetMillis());
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestJournal.java
@@ -0,0 +1,46 @@
+package org.fescueloom.daemon.entry;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Keeps the recent requests of this entry, so that their way can be explained. */
+final class RequestJournal {
+    private final Map<String, RequestTrail> trails;
+
+    /**
+     * Creates an empty journal.
+     *
+     * @param capacity how many requests are kept; the oldest go first; positive
+     */
+    RequestJournal(int capacity) {
+        trails =
+                new LinkedHashMap<>() {
+                    private static final long serialVersionUID = 1L;
+
+                    @Override
+                    protected boolean removeEldestEntry(Map.Entry<String, RequestTrail> eldest) {
+                        return size() > capacity;
+                    }
+                };
+    }
+
+    /**
+     * Adds a request; one of the same identifier is replaced.
+     *
+     * @param trail the trail of the request, not null
+     */
+    synchronized void add(RequestTrail trail) {
+        trails.put(trail.request(), trail);
+    }
+
+    /**
+     * Finds a request.
+     *
+     * @param id the identifier, may be null
+     * @return its trail, or empty if it is not kept
+     */
+    synchronized Optional<RequestTrail> find(String id) {
+        return Optional.ofNullable(trails.get(id));
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestResult.java
@@ -0,0 +1,42 @@
+package org.fescueloom.daemon.entry;
+
+import java.util.Map;
+import org.fescueloom.daemon.http.HttpReply;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.request.AttemptAnswer;
+import org.fescueloom.wire.Headers;
+
+/**
+ * Holds the final result of a request.
+ *
+ * @param requestId the identifier of the request, not null
+ * @param answer the whole answer; null if there is none
+ * @param servedBy the upstream that gave the answer; null without an answer
+ * @param attempts how many attempts were made
+ * @param failure the failure; null if there is an answer
+ */
+record RequestResult(
+        String requestId,
+        AttemptAnswer answer,
+        String servedBy,
+        int attempts,
+        SchedulerException failure) {
+    private static final String DEFAULT_CONTENT_TYPE = "application/octet-stream";
+
+    /**
+     * Returns the reply for the caller.
+     *
+     * @return the reply, never null
+     */
+    HttpReply reply() {
+        HttpReply reply = answer == null ? HttpReply.failure(failure) : answerReply();
+        return reply.withHeader(Headers.REQUEST_ID, requestId)
+                .withHeader(Headers.ATTEMPTS, Integer.toString(attempts));
+    }
+
+    private HttpReply answerReply() {
+        String type = answer.contentType() == null ? DEFAULT_CONTENT_TYPE : answer.contentType();
+        return new HttpReply(
+                HttpReply.OK, type, Map.of(Headers.SERVED_BY, servedBy), answer.body());
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
@@ -105,6 +105,11 @@
         return answer;
     }
 
+    /** Closes the connections that no call uses now. */
+    public void closeIdle() {
+        client.connectionPool().evictAll();
+    }
+
     /** Ends all calls and closes all connections. */
     @Override
     public void close() {
