Show the thin request path over real sockets

Cause: the request path had no run that shows it. Ruled out: mocks of the HTTP layer; the failures of interest lie there. Change: the entry takes the members as the cluster package lists them; a test bed runs entries, agents and upstreams over loopback in one process. Conclusion: ready to be wired into AgentRole and EntryRole: new AgentService(incarnation, gate, config, metrics, onLeavingChange) and new RequestService(member, incarnation, zone, agents, config, metrics).

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.fescueloom.config.ConfigurationDocument;
 import org.fescueloom.config.CustomerPolicy;
+import org.fescueloom.config.ZoneState;
 import org.fescueloom.daemon.Service;
 import org.fescueloom.daemon.http.HttpCall;
 import org.fescueloom.daemon.http.HttpReply;
@@ -18,6 +19,7 @@
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.member.Member;
 import org.fescueloom.request.AdmissionLimits;
 import org.fescueloom.request.AdmissionQueue;
 import org.fescueloom.request.QueuedAttempt;
@@ -72,7 +74,7 @@
      * @param member the identifier of this process, not null
      * @param incarnation the incarnation of this process, not negative
      * @param zone the availability zone of this process, not null
-     * @param directory tells which agents are usable, not null
+     * @param agents lists the agents that have announced themselves, not null
      * @param config the configuration in force, not null
      * @param metrics takes the counts, not null
      */
@@ -80,7 +82,7 @@
             String member,
             long incarnation,
             String zone,
-            AgentDirectory directory,
+            Supplier<List<Member>> agents,
             Supplier<ConfigurationDocument> config,
             Metrics metrics) {
         this.member = Objects.requireNonNull(member, "member");
@@ -88,7 +90,11 @@
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         UpstreamPool pool =
                 new UpstreamPool(
-                        directory, zone, SelectionPolicy.EXPECTED_COMPLETION, System::nanoTime);
+                        agents,
+                        this::isZoneIn,
+                        zone,
+                        SelectionPolicy.EXPECTED_COMPLETION,
+                        System::nanoTime);
         AttemptClient client = new AttemptClient(MAX_RUNNING, MAX_QUESTIONS, pool::note);
         String issuer = member.replaceAll("[^A-Za-z0-9_-]", "-");
         context =
@@ -278,6 +284,10 @@
         return unfinished;
     }
 
+    private boolean isZoneIn(String zone) {
+        return config.get().zone(zone).filter(z -> z.state() == ZoneState.IN).isPresent();
+    }
+
     private double guaranteedShare(String customer) {
         return config.get().customer(customer).map(CustomerPolicy::guaranteedShare).orElse(0.0);
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/UpstreamPool.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/UpstreamPool.java
@@ -10,6 +10,9 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.fescueloom.member.Member;
 import org.fescueloom.request.AttemptResult;
 import org.fescueloom.request.RetryBudget;
 import org.fescueloom.request.SelectionPolicy;
@@ -29,7 +32,8 @@
     private static final double RETRY_SHARE = 0.1;
     private static final double RETRY_CAPACITY = 20;
 
-    private final AgentDirectory directory;
+    private final Supplier<List<Member>> agents;
+    private final Predicate<String> zoneIsIn;
     private final String zone;
     private final LongSupplier nanoTime;
     private final UpstreamSelector selector;
@@ -39,14 +43,20 @@
     /**
      * Creates a pool.
      *
-     * @param directory tells which agents are usable, not null
+     * @param agents lists the agents that have announced themselves, not null
+     * @param zoneIsIn tells whether an availability zone is in service, not null
      * @param zone the availability zone of this process, not null
      * @param policy the way to choose, not null
      * @param nanoTime the monotonic clock, not null
      */
     UpstreamPool(
-            AgentDirectory directory, String zone, SelectionPolicy policy, LongSupplier nanoTime) {
-        this.directory = Objects.requireNonNull(directory, "directory");
+            Supplier<List<Member>> agents,
+            Predicate<String> zoneIsIn,
+            String zone,
+            SelectionPolicy policy,
+            LongSupplier nanoTime) {
+        this.agents = Objects.requireNonNull(agents, "agents");
+        this.zoneIsIn = Objects.requireNonNull(zoneIsIn, "zoneIsIn");
         this.zone = Objects.requireNonNull(zone, "zone");
         this.nanoTime = Objects.requireNonNull(nanoTime, "nanoTime");
         this.selector = new UpstreamSelector(policy, new SplittableRandom());
@@ -67,7 +77,7 @@
      */
     synchronized Optional<Chosen> choose(Set<String> excluded) {
         long now = nanoTime.getAsLong();
-        Map<String, AgentView> usable = refresh(now);
+        Map<String, Member> usable = refresh(now);
         Collection<String> allowed =
                 usable.keySet().stream().filter(u -> !excluded.contains(u)).toList();
         Optional<UpstreamChoice> choice = selector.select(allowed, now);
@@ -122,21 +132,18 @@
                 .min();
     }
 
-    private Map<String, AgentView> refresh(long now) {
-        Map<String, AgentView> usable = new HashMap<>();
-        List<AgentView> agents = directory.usableAgents();
-        for (AgentView agent : agents) {
-            if (agent.upstream() == null) {
+    private Map<String, Member> refresh(long now) {
+        Map<String, Member> usable = new HashMap<>();
+        for (Member agent : agents.get()) {
+            AgentStatus status = agent.announcement().agent();
+            if (status == null || !agent.usable() || !zoneIsIn.test(agent.zone())) {
                 continue;
             }
-            usable.put(agent.upstream(), agent);
-            Long heard = heardAtMillis.put(agent.upstream(), agent.heardAtMillis());
+            usable.put(status.upstream(), agent);
+            Long heard = heardAtMillis.put(status.upstream(), agent.heardAtMillis());
             if (heard == null || heard != agent.heardAtMillis()) {
-                selector.update(
-                        new UpstreamFigures(
-                                agent.announcement().agent(),
-                                distanceNanos(agent.announcement()),
-                                now));
+                long distance = distanceNanos(agent.announcement());
+                selector.update(new UpstreamFigures(status, distance, now));
             }
         }
         heardAtMillis.keySet().retainAll(usable.keySet());
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/entry/RequestTestBed.java
@@ -0,0 +1,219 @@
+package org.fescueloom.daemon.entry;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.fescueloom.config.ConfigurationDocument;
+import org.fescueloom.config.CustomerPolicy;
+import org.fescueloom.config.ServiceClass;
+import org.fescueloom.config.Zone;
+import org.fescueloom.daemon.agent.AgentService;
+import org.fescueloom.daemon.agent.StartGate;
+import org.fescueloom.daemon.http.HttpCall;
+import org.fescueloom.daemon.http.HttpReply;
+import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.json.Json;
+import org.fescueloom.member.Member;
+import org.fescueloom.member.MemberState;
+import org.fescueloom.wire.Announcement;
+import org.fescueloom.wire.Headers;
+import org.fescueloom.wire.MemberKind;
+import org.fescueloom.wire.UpstreamRegistration;
+
+/** Runs entries, agents and small upstreams over loopback in one process. */
+final class RequestTestBed implements AutoCloseable {
+    static final String CLASS = "culvert";
+    static final String CUSTOMER = "parks";
+    private static final int MAX_BODY = 4 << 20;
+
+    final ConfigurationDocument config =
+            new ConfigurationDocument(
+                    List.of(new ServiceClass(CLASS, 5_000, 0, 1 << 20)),
+                    List.of(new CustomerPolicy(CUSTOMER, 0.5, null)),
+                    List.of(new Zone("north-yard", null, null, null)));
+    final List<Node> agents = new CopyOnWriteArrayList<>();
+    final List<Entry> entries = new CopyOnWriteArrayList<>();
+    final HttpClient caller = HttpClient.newHttpClient();
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    /** Is one entry with its server. */
+    record Entry(RequestService service, HttpServer server, Metrics metrics) {}
+
+    /** Is one agent with the upstream beside it. */
+    static final class Node {
+        final String name;
+        final long incarnation;
+        final Metrics metrics = new Metrics();
+        final Upstream upstream = new Upstream();
+        final HttpServer server = new HttpServer("127.0.0.1", 0, MAX_BODY);
+        final AgentService service;
+        volatile boolean hidden;
+        volatile String announcedAddress;
+
+        Node(String name, long incarnation, ConfigurationDocument config) {
+            this.name = name;
+            this.incarnation = incarnation;
+            service =
+                    new AgentService(incarnation, StartGate.OPEN, () -> config, metrics, () -> {});
+            service.routes(server);
+            server.start();
+            service.start(address());
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.port();
+        }
+
+        Member member() {
+            String address = announcedAddress == null ? address() : announcedAddress;
+            Announcement announcement =
+                    new Announcement(
+                            MemberKind.AGENT,
+                            name,
+                            incarnation,
+                            address,
+                            "north-yard",
+                            service.isLeaving(),
+                            1,
+                            service.status(),
+                            null);
+            MemberState state = service.isLeaving() ? MemberState.LEAVING : MemberState.ALIVE;
+            return new Member(announcement, System.nanoTime() / 100_000_000L, state);
+        }
+    }
+
+    /** Answers attempts with "echo:" and the body, and counts the runs of each request. */
+    static final class Upstream {
+        final HttpServer server = new HttpServer("127.0.0.1", 0, MAX_BODY);
+        final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+        final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+        volatile long delayMillis;
+        volatile int status = HttpReply.OK;
+        volatile String echo;
+
+        Upstream() {
+            server.route("POST", "/v1/classes/{class}/requests", this::serve);
+            server.start();
+        }
+
+        private CompletableFuture<HttpReply> serve(HttpCall call) {
+            String id = call.header(Headers.REQUEST_ID).orElseThrow();
+            runs.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
+            byte[] prefix = "echo:".getBytes(StandardCharsets.UTF_8);
+            byte[] body = Arrays.copyOf(prefix, prefix.length + call.body().length);
+            System.arraycopy(call.body(), 0, body, prefix.length, call.body().length);
+            String attempt = echo == null ? call.header(Headers.ATTEMPT_ID).orElseThrow() : echo;
+            HttpReply reply =
+                    new HttpReply(status, "text/plain", Map.of(Headers.ATTEMPT_ID, attempt), body);
+            CompletableFuture<HttpReply> later = new CompletableFuture<>();
+            timer.schedule(() -> later.complete(reply), delayMillis, TimeUnit.MILLISECONDS);
+            return later;
+        }
+
+        int runsOf(String id) {
+            AtomicInteger count = runs.get(id);
+            return count == null ? 0 : count.get();
+        }
+    }
+
+    Node agent(String name, int slots) {
+        return agent(name, slots, 1);
+    }
+
+    Node agent(String name, int slots, long incarnation) {
+        Node node = new Node(name, incarnation, config);
+        agents.add(node);
+        open.add(node.service::close);
+        open.add(node.server::close);
+        open.add(node.upstream.server::close);
+        open.add(node.upstream.timer::shutdownNow);
+        register(node, slots, false);
+        return node;
+    }
+
+    void register(Node node, int slots, boolean leaving) {
+        UpstreamRegistration registration =
+                new UpstreamRegistration(
+                        "up-" + node.name,
+                        "127.0.0.1:" + node.upstream.server.port(),
+                        slots,
+                        64,
+                        leaving);
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://" + node.address() + "/v1/upstream"))
+                        .PUT(HttpRequest.BodyPublishers.ofByteArray(Json.write(registration)))
+                        .build();
+        send(request).join();
+        node.upstream.timer.schedule(
+                () -> {
+                    if (!leaving) {
+                        register(node, slots, false);
+                    }
+                },
+                1,
+                TimeUnit.SECONDS);
+    }
+
+    Entry entry(String name) {
+        HttpServer server = new HttpServer("127.0.0.1", 0, MAX_BODY);
+        Metrics metrics = new Metrics();
+        RequestService service =
+                new RequestService(name, 1, "north-yard", this::members, () -> config, metrics);
+        service.routes(server);
+        server.start();
+        service.start("127.0.0.1:" + server.port());
+        Entry entry = new Entry(service, server, metrics);
+        entries.add(entry);
+        open.add(service::close);
+        open.add(server::close);
+        return entry;
+    }
+
+    List<Member> members() {
+        return agents.stream().filter(a -> !a.hidden).map(Node::member).toList();
+    }
+
+    CompletableFuture<HttpResponse<byte[]>> request(Entry entry, byte[] body, String... headers) {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(
+                                URI.create(
+                                        "http://127.0.0.1:"
+                                                + entry.server().port()
+                                                + "/v1/classes/"
+                                                + CLASS
+                                                + "/requests"))
+                        .header(Headers.CUSTOMER, CUSTOMER)
+                        .timeout(Duration.ofSeconds(60))
+                        .POST(HttpRequest.BodyPublishers.ofByteArray(body));
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return send(request.build());
+    }
+
+    CompletableFuture<HttpResponse<byte[]>> send(HttpRequest request) {
+        return caller.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (AutoCloseable closeable : open) {
+            closeable.close();
+        }
+    }
+}
