Plan, keep leases and serve jobs in the daemon

Cause: the job path needs its services: the claim on planning, the rounds, the gangs' start and stop, the keeping of leases and the routes for callers.

Ruled out: the planner renewing the leases (its death during an outage of the log would end every job); planning by polling all workers (the placements in the log say the same, and 510 polls do not fit 3 KB/s).

The gangs that are being started count as allocations, so the next round does not give their accelerators away.

--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/job/EpochBook.java
@@ -0,0 +1,89 @@
+package org.fescueloom.job;
+
+import java.util.Optional;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.json.Json;
+import org.fescueloom.log.LogRecord;
+import org.fescueloom.log.StreamFold;
+
+/**
+ * Folds the {@code epochs} stream: the last claim holds, and its offset is the epoch.
+ *
+ * <p>A repeat of the last claim's record changes nothing. Can be used by many threads.
+ */
+public final class EpochBook implements StreamFold {
+    private long next;
+    private long epoch = -1L;
+    private String lastRecordId;
+    private EpochClaim claim;
+    private long unreadable;
+
+    /** Creates a book without a claim. */
+    public EpochBook() {}
+
+    @Override
+    public synchronized long next() {
+        return next;
+    }
+
+    @Override
+    public synchronized void skipTo(long first) {
+        next = Math.max(next, first);
+    }
+
+    @Override
+    public synchronized void apply(LogRecord record) {
+        if (record.offset() < next) {
+            return;
+        }
+        next = record.offset() + 1;
+        if (record.id().equals(lastRecordId)) {
+            return;
+        }
+        Optional<EpochClaim> read = read(record);
+        if (read.isEmpty()) {
+            unreadable++;
+            return;
+        }
+        lastRecordId = record.id();
+        claim = read.get();
+        epoch = record.offset();
+    }
+
+    /**
+     * Returns the claim that holds.
+     *
+     * @return the claim, or empty before the first
+     */
+    public synchronized Optional<EpochClaim> claim() {
+        return Optional.ofNullable(claim);
+    }
+
+    /**
+     * Returns the epoch of the claim that holds.
+     *
+     * @return the offset of its record; -1 before the first
+     */
+    public synchronized long epoch() {
+        return epoch;
+    }
+
+    /**
+     * Returns how many records could not be read.
+     *
+     * @return the number, at least 0
+     */
+    public synchronized long unreadable() {
+        return unreadable;
+    }
+
+    private static Optional<EpochClaim> read(LogRecord record) {
+        try {
+            EpochClaim claim = Json.convert(record.payload(), EpochClaim.class);
+            boolean known = claim.version() >= 1 && claim.version() <= EpochClaim.VERSION;
+            return known ? Optional.of(claim) : Optional.empty();
+        } catch (SchedulerException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangRunner.java
@@ -0,0 +1,319 @@
+package org.fescueloom.daemon.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.gang.LeaseTerms;
+import org.fescueloom.job.GangAttempt;
+import org.fescueloom.job.GangEnded;
+import org.fescueloom.job.GangMember;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.GangResult;
+import org.fescueloom.job.Job;
+import org.fescueloom.job.RecordEffect;
+import org.fescueloom.placement.StartGang;
+import org.fescueloom.placement.TaskPlacement;
+
+/** Carries out what a plan decided: starts gangs, stops them, and records how they ended. */
+public final class GangRunner {
+    private final Set<String> busy = ConcurrentHashMap.newKeySet();
+    private final Map<String, GangPlaced> starting = new ConcurrentHashMap<>();
+    private final Map<String, StartBackoff> backoffs = new ConcurrentHashMap<>();
+    private final AtomicLong sequence = new AtomicLong();
+    private final GangStarter starter;
+    private final GangStopper stopper;
+    private final JobLog log;
+    private final JobLedger ledger;
+    private final Metrics metrics;
+    private final LongSupplier clock;
+
+    /**
+     * Creates a runner.
+     *
+     * @param starter starts gangs, not null
+     * @param stopper stops gangs, not null
+     * @param log records ends, not null
+     * @param ledger tells what was recorded, not null
+     * @param metrics counts starts and stops, not null
+     * @param clock gives the time in milliseconds since the epoch, not null
+     */
+    public GangRunner(
+            GangStarter starter,
+            GangStopper stopper,
+            JobLog log,
+            JobLedger ledger,
+            Metrics metrics,
+            LongSupplier clock) {
+        this.starter = Objects.requireNonNull(starter, "starter");
+        this.stopper = Objects.requireNonNull(stopper, "stopper");
+        this.log = Objects.requireNonNull(log, "log");
+        this.ledger = Objects.requireNonNull(ledger, "ledger");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    /**
+     * Returns the jobs that are being started or stopped.
+     *
+     * @return the identifiers, never null
+     */
+    public Set<String> busy() {
+        return Set.copyOf(busy);
+    }
+
+    /**
+     * Returns the gangs that are being started.
+     *
+     * @return the placements by job, never null; those that are recorded already too
+     */
+    public Map<String, GangPlaced> starting() {
+        return Map.copyOf(starting);
+    }
+
+    /**
+     * Returns when jobs whose start failed are tried again.
+     *
+     * @return the backoffs by job, never null
+     */
+    public Map<String, StartBackoff> backoffs() {
+        return Map.copyOf(backoffs);
+    }
+
+    /**
+     * Starts a gang; does nothing for a job that is being started or stopped.
+     *
+     * @param start the decision, not null
+     * @param epoch the epoch of the planner
+     * @param addresses gives the address of a worker, not null
+     * @return a future that is true if the gang runs; it never fails
+     */
+    public CompletableFuture<Boolean> start(
+            StartGang start, long epoch, Function<String, Optional<String>> addresses) {
+        Optional<Job> job = ledger.job(start.job());
+        if (job.isEmpty() || !busy.add(start.job())) {
+            return CompletableFuture.completedFuture(false);
+        }
+        Optional<GangPlaced> gang = placement(job.get(), start, epoch, addresses);
+        if (gang.isEmpty()) {
+            busy.remove(start.job());
+            return CompletableFuture.completedFuture(false);
+        }
+        starting.put(start.job(), gang.get());
+        return starter.start(gang.get(), job.get().spec())
+                .handle((done, error) -> error)
+                .thenCompose(error -> finishStart(gang.get(), error))
+                .whenComplete((started, error) -> endStart(start.job()));
+    }
+
+    /**
+     * Saves the progress of a job's gang, stops it and records why; does nothing for a job that is
+     * being started or stopped.
+     *
+     * @param id the job, not null
+     * @param result how the gang ends, not null
+     * @param reason why, in words, not null
+     * @return a future that is true if the end is recorded; it never fails
+     */
+    public CompletableFuture<Boolean> stop(String id, GangResult result, String reason) {
+        Optional<Job> job = ledger.job(id);
+        Optional<GangPlaced> gang =
+                job.flatMap(Job::currentAttempt).map(GangAttempt::placed);
+        if (gang.isEmpty() || !busy.add(id)) {
+            return CompletableFuture.completedFuture(false);
+        }
+        metrics.count("gangs.stopped." + result.text());
+        EventLog.event("gang-stopping").field("job", id).field("reason", reason).info();
+        boolean checkpointable = job.get().spec().checkpointable();
+        return stopAndRecord(gang.get(), checkpointable, result, reason, List.of(), 0L)
+                .whenComplete((recorded, error) -> busy.remove(id));
+    }
+
+    /**
+     * Saves the progress of a gang if it can, stops it and records why.
+     *
+     * @param gang the gang, not null
+     * @param checkpointable whether its tasks can save their progress
+     * @param result how it ends, not null
+     * @param reason why, in words, not null
+     * @param atFault the workers on which tasks failed, not null
+     * @param checkpointMillis how much of the run earlier checkpoints hold, in milliseconds
+     * @return a future that is true if the end is recorded; it never fails
+     */
+    public CompletableFuture<Boolean> stopAndRecord(
+            GangPlaced gang,
+            boolean checkpointable,
+            GangResult result,
+            String reason,
+            List<String> atFault,
+            long checkpointMillis) {
+        CompletableFuture<Long> saved =
+                checkpointable
+                        ? stopper.checkpoint(gang)
+                        : CompletableFuture.completedFuture(0L);
+        return saved.thenCompose(
+                millis ->
+                        releaseAndRecord(
+                                gang, result, reason, atFault, Math.max(millis, checkpointMillis)));
+    }
+
+    /**
+     * Records how a gang ended and only then releases its leases, so that workers keep the result
+     * until the log has it.
+     *
+     * @param gang the gang, not null
+     * @param result how it ended, not null
+     * @param reason why, in words, not null
+     * @return a future that is true if the end is recorded; it never fails
+     */
+    public CompletableFuture<Boolean> recordThenRelease(
+            GangPlaced gang, GangResult result, String reason) {
+        return recordEnd(gang, result, reason, List.of(), 0L)
+                .thenCompose(
+                        recorded ->
+                                isCurrent(gang)
+                                        ? CompletableFuture.completedFuture(false)
+                                        : stopper.release(gang).thenApply(done -> recorded));
+    }
+
+    /**
+     * Releases the leases of a gang, waits until none can be held any longer, and records the end.
+     *
+     * @param gang the gang, not null
+     * @param result how it ends, not null
+     * @param reason why, in words, not null
+     * @param atFault the workers on which tasks failed, not null
+     * @param checkpointMillis how much of the run checkpoints hold, in milliseconds
+     * @return a future that is true if the end is recorded; it never fails
+     */
+    public CompletableFuture<Boolean> releaseAndRecord(
+            GangPlaced gang,
+            GangResult result,
+            String reason,
+            List<String> atFault,
+            long checkpointMillis) {
+        return stopper.release(gang)
+                .thenCompose(GangRunner::waitForLapse)
+                .thenCompose(
+                        gone -> recordEnd(gang, result, reason, atFault, checkpointMillis));
+    }
+
+    private static CompletableFuture<Void> waitForLapse(boolean released) {
+        if (released) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return CompletableFuture.runAsync(
+                () -> {},
+                CompletableFuture.delayedExecutor(
+                        LeaseTerms.DEFAULT.lostRetryDelayMillis(), TimeUnit.MILLISECONDS));
+    }
+
+    private CompletableFuture<Boolean> recordEnd(
+            GangPlaced gang,
+            GangResult result,
+            String reason,
+            List<String> atFault,
+            long checkpointMillis) {
+        GangEnded end =
+                new GangEnded(
+                        gang.job(),
+                        gang.attempt(),
+                        gang.epoch(),
+                        result,
+                        reason,
+                        atFault,
+                        checkpointMillis,
+                        clock.getAsLong());
+        return log.append(gang.attempt() + "-ended-" + result.text(), end)
+                .handle(
+                        (effect, error) -> {
+                            if (error != null) {
+                                metrics.countRetry(Futures.failure(error).type());
+                            }
+                            return effect == RecordEffect.APPLIED;
+                        });
+    }
+
+    private CompletableFuture<Boolean> finishStart(GangPlaced gang, Throwable error) {
+        if (error == null) {
+            backoffs.remove(gang.job());
+            metrics.count("gangs.started");
+            EventLog.event("gang-started")
+                    .field("job", gang.job())
+                    .field("attempt", gang.attempt())
+                    .field("members", gang.members().size())
+                    .info();
+            return CompletableFuture.completedFuture(true);
+        }
+        SchedulerException failure = Futures.failure(error);
+        metrics.countRetry(failure.type());
+        EventLog.event("gang-start-failed")
+                .field("job", gang.job())
+                .field("attempt", gang.attempt())
+                .field("reason", failure.type().text())
+                .field("detail", failure.getMessage())
+                .warn();
+        backoffs.compute(
+                gang.job(), (job, before) -> StartBackoff.after(before, clock.getAsLong()));
+        return isCurrent(gang)
+                ? releaseAndRecord(gang, GangResult.LOST, failure.getMessage(), List.of(), 0L)
+                        .thenApply(recorded -> false)
+                : CompletableFuture.completedFuture(false);
+    }
+
+    private void endStart(String job) {
+        starting.remove(job);
+        busy.remove(job);
+    }
+
+    private boolean isCurrent(GangPlaced gang) {
+        return ledger.job(gang.job())
+                .flatMap(Job::currentAttempt)
+                .filter(a -> a.placed().attempt().equals(gang.attempt()))
+                .isPresent();
+    }
+
+    private Optional<GangPlaced> placement(
+            Job job,
+            StartGang start,
+            long epoch,
+            Function<String, Optional<String>> addresses) {
+        String attempt = start.job() + "." + epoch + "." + sequence.incrementAndGet();
+        List<GangMember> members = new ArrayList<>();
+        for (TaskPlacement task : start.members()) {
+            Optional<String> address = addresses.apply(task.worker());
+            if (address.isEmpty()) {
+                return Optional.empty();
+            }
+            members.add(
+                    new GangMember(
+                            Integer.toString(task.task()),
+                            task.worker(),
+                            address.get(),
+                            attempt + "." + task.task(),
+                            task.accelerators()));
+        }
+        return Optional.of(
+                new GangPlaced(
+                        start.job(),
+                        attempt,
+                        epoch,
+                        members,
+                        start.claims(),
+                        job.spec().cpus(),
+                        job.spec().memoryMb(),
+                        job.resumeMillis(),
+                        clock.getAsLong()));
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStarter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStarter.java
@@ -1,5 +1,6 @@
 package org.fescueloom.daemon.jobs;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.function.Function;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.gang.LeaseTerms;
 import org.fescueloom.job.GangMember;
 import org.fescueloom.job.GangPlaced;
 import org.fescueloom.job.JobSpec;
@@ -21,9 +23,13 @@
  *
  * <p>Between the steps the placement is recorded in the log; only a placement that counts there is
  * started. Until the second step no task runs, and the leases lapse within {@link
- * GangTimes#START_LEASE}, so a planner that dies or is paused between the steps starts nothing.
+ * #START_LEASE}, so a planner that dies or is paused between the steps starts nothing.
  */
 public final class GangStarter {
+    /** The lease of a member that is granted but not started. */
+    public static final Duration START_LEASE = Duration.ofMillis(2_000L);
+
+    private static final Duration RUN_LEASE = Duration.ofMillis(LeaseTerms.DEFAULT.ttlMillis());
     private static final int START_TRIES = 3;
 
     private final WorkerClient workers;
@@ -88,7 +94,7 @@
                             member.accelerators(),
                             spec.cpus(),
                             spec.memoryMb(),
-                            GangTimes.START_LEASE.toMillis());
+                            START_LEASE.toMillis());
             grants.add(workers.grant(member.address(), member.lease(), request));
         }
         return Futures.all(grants);
@@ -146,7 +152,7 @@
     }
 
     private CompletableFuture<Void> renewWorker(String address, List<String> leases) {
-        return workers.renew(address, leases, GangTimes.RUN_LEASE)
+        return workers.renew(address, leases, RUN_LEASE)
                 .thenAccept(
                         result -> {
                             if (!result.unknown().isEmpty()) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStopper.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStopper.java
@@ -32,11 +32,7 @@
                 gang.members().stream().map(this::checkpointMember).toList();
         return Futures.all(saved)
                 .thenApply(
-                        done ->
-                                saved.stream()
-                                        .mapToLong(CompletableFuture::join)
-                                        .min()
-                                        .orElse(0L));
+                        done -> saved.stream().mapToLong(CompletableFuture::join).min().orElse(0L));
     }
 
     /**
@@ -44,7 +40,8 @@
      *
      * @param gang the gang, not null
      * @return a future that is true if every worker confirmed; if not, the leases that are left
-     *     lapse within {@link GangTimes#LAPSE_BOUND}
+     *     lapse within {@link
+     *     org.fescueloom.gang.LeaseTerms#lostRetryDelayMillis()}
      */
     public CompletableFuture<Boolean> release(GangPlaced gang) {
         List<CompletableFuture<Boolean>> released =
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobLedger.java
@@ -0,0 +1,132 @@
+package org.fescueloom.daemon.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.Job;
+import org.fescueloom.job.JobBook;
+import org.fescueloom.job.RecordEffect;
+import org.fescueloom.log.LogRecord;
+import org.fescueloom.log.StreamFold;
+
+/**
+ * Keeps the job book of a process and tells others of its changes. Can be used by many threads.
+ *
+ * <p>The follower of the stream applies the records; everybody else reads.
+ */
+public final class JobLedger implements StreamFold {
+    private final JobBook book = new JobBook();
+    private final Map<String, CompletableFuture<RecordEffect>> waiters = new ConcurrentHashMap<>();
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+    private long skippedTo;
+
+    /** Creates a ledger without jobs. */
+    public JobLedger() {}
+
+    @Override
+    public synchronized long next() {
+        return Math.max(book.nextOffset(), skippedTo);
+    }
+
+    @Override
+    public synchronized void skipTo(long first) {
+        skippedTo = Math.max(skippedTo, first);
+    }
+
+    @Override
+    public void apply(LogRecord record) {
+        Objects.requireNonNull(record, "record");
+        RecordEffect effect;
+        synchronized (this) {
+            if (record.offset() < next()) {
+                return;
+            }
+            effect = book.apply(record);
+        }
+        CompletableFuture<RecordEffect> waiter = waiters.remove(record.id());
+        if (waiter != null) {
+            waiter.complete(effect);
+        }
+        listeners.forEach(Runnable::run);
+    }
+
+    /**
+     * Returns a future of what a record does when it is applied; to be called before the append.
+     *
+     * @param recordId the identifier of the record, not null
+     * @return the future, never null; the same one for the same identifier until it is complete
+     */
+    public CompletableFuture<RecordEffect> effectOf(String recordId) {
+        return waiters.computeIfAbsent(recordId, id -> new CompletableFuture<>());
+    }
+
+    /**
+     * Drops the future of a record that will not be waited for any longer.
+     *
+     * @param recordId the identifier of the record, not null
+     */
+    public void forget(String recordId) {
+        waiters.remove(recordId);
+    }
+
+    /**
+     * Adds a listener that runs after each record, on the follower's thread.
+     *
+     * @param listener the listener, not null; must not block
+     */
+    public void onChange(Runnable listener) {
+        listeners.add(Objects.requireNonNull(listener, "listener"));
+    }
+
+    /**
+     * Reads something from the book while no record is applied.
+     *
+     * @param <T> what is read
+     * @param reader reads it, not null; must not keep the book
+     * @return what the reader returned
+     */
+    public synchronized <T> T read(Function<JobBook, T> reader) {
+        return reader.apply(book);
+    }
+
+    /**
+     * Finds a job.
+     *
+     * @param id the identifier, not null
+     * @return the job, or empty if none of this name is known
+     */
+    public Optional<Job> job(String id) {
+        return read(b -> b.job(id));
+    }
+
+    /**
+     * Returns the jobs that pass a test.
+     *
+     * @param test the test, not null
+     * @return the jobs in order of acceptance, never null
+     */
+    public List<Job> jobs(Predicate<Job> test) {
+        return read(b -> b.jobs(test));
+    }
+
+    /**
+     * Returns the gangs that are placed and have not ended.
+     *
+     * @return the placements, never null
+     */
+    public List<GangPlaced> openGangs() {
+        List<GangPlaced> gangs = new ArrayList<>();
+        for (Job job : jobs(j -> j.state().hasGang())) {
+            job.currentAttempt().ifPresent(attempt -> gangs.add(attempt.placed()));
+        }
+        return gangs;
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobReports.java
@@ -0,0 +1,124 @@
+package org.fescueloom.daemon.jobs;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.fescueloom.job.GangAttempt;
+import org.fescueloom.job.GangEnded;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.Job;
+import org.fescueloom.job.JobState;
+import org.fescueloom.report.ExplanationReport;
+import org.fescueloom.report.ExplanationStep;
+import org.fescueloom.report.JobReport;
+import org.fescueloom.report.PlacementReport;
+
+/** Describes jobs for callers and operators. */
+public final class JobReports {
+    private static final String JOB_KIND = "job";
+    private static final String NOT_PLANNED = "not-planned-yet";
+
+    private final PlanBoard board;
+
+    /**
+     * Creates the reports.
+     *
+     * @param board tells why jobs wait, not null
+     */
+    public JobReports(PlanBoard board) {
+        this.board = Objects.requireNonNull(board, "board");
+    }
+
+    /**
+     * Describes a job.
+     *
+     * @param job the job, not null
+     * @return the report, never null
+     */
+    public JobReport report(Job job) {
+        Optional<WaitingNote> note = note(job);
+        List<PlacementReport> placement =
+                job.currentAttempt().map(a -> placement(a.placed())).orElse(List.of());
+        return new JobReport(
+                job.id(),
+                job.state().text(),
+                note.map(WaitingNote::reason).orElse(null),
+                note.map(WaitingNote::detail).orElse(job.reason().isEmpty() ? null : job.reason()),
+                job.attempts().size(),
+                placement,
+                job.spec());
+    }
+
+    /**
+     * Tells what happened to a job and why.
+     *
+     * @param job the job, not null
+     * @return the explanation, never null
+     */
+    public ExplanationReport explain(Job job) {
+        List<ExplanationStep> steps = new ArrayList<>();
+        steps.add(
+                new ExplanationStep(
+                        job.acceptedAtMillis(), "accepted", "taken from its caller and recorded"));
+        for (GangAttempt attempt : job.attempts()) {
+            steps.add(placedStep(attempt.placed()));
+            if (!attempt.isOpen()) {
+                steps.add(endedStep(attempt.ended()));
+            }
+        }
+        steps.sort(Comparator.comparingLong(ExplanationStep::atMillis));
+        JobReport report = report(job);
+        String summary = report.detail() == null ? "nothing more is known" : report.detail();
+        return new ExplanationReport(job.id(), JOB_KIND, report.state(), summary, steps);
+    }
+
+    private Optional<WaitingNote> note(Job job) {
+        if (job.state() != JobState.WAITING) {
+            return Optional.empty();
+        }
+        return board.note(job.id())
+                .or(
+                        () ->
+                                Optional.of(
+                                        new WaitingNote(
+                                                NOT_PLANNED, "the next plan will decide on it")));
+    }
+
+    private static List<PlacementReport> placement(GangPlaced gang) {
+        return gang.members().stream()
+                .map(m -> new PlacementReport(m.task(), m.worker(), m.accelerators()))
+                .toList();
+    }
+
+    private static ExplanationStep placedStep(GangPlaced gang) {
+        String use = gang.claims().isEmpty() ? "borrowed" : "guaranteed";
+        String workers = String.join(", ", gang.workers().stream().sorted().toList());
+        String detail =
+                "attempt %s by planner epoch %d: %d tasks on %s, %s accelerators"
+                        .formatted(
+                                gang.attempt(),
+                                gang.epoch(),
+                                gang.members().size(),
+                                workers,
+                                use);
+        return new ExplanationStep(gang.placedAtMillis(), "placed", detail);
+    }
+
+    private static ExplanationStep endedStep(GangEnded end) {
+        String fault =
+                end.workersAtFault().isEmpty()
+                        ? ""
+                        : " (failed on " + String.join(", ", end.workersAtFault()) + ")";
+        String detail =
+                "attempt %s: %s%s at %s"
+                        .formatted(
+                                end.attempt(),
+                                end.reason(),
+                                fault,
+                                Instant.ofEpochMilli(end.endedAtMillis()));
+        return new ExplanationStep(end.endedAtMillis(), end.result().text(), detail);
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperService.java
@@ -0,0 +1,276 @@
+package org.fescueloom.daemon.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.fescueloom.daemon.Service;
+import org.fescueloom.daemon.cluster.Clocks;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.gang.GangKeeper;
+import org.fescueloom.gang.GangObservation;
+import org.fescueloom.gang.KeeperDecision;
+import org.fescueloom.gang.LeaseTerms;
+import org.fescueloom.job.GangMember;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.GangResult;
+import org.fescueloom.job.Job;
+import org.fescueloom.job.JobState;
+import org.fescueloom.wire.WorkerReport;
+
+/**
+ * Keeps the leases of gangs: renews them all while every member runs, else stops the gang.
+ *
+ * <p>Any number of processes may keep one gang, for what they do can be repeated. Keepers work
+ * without a planner and through an outage of the log. A round asks each worker once for all gangs
+ * on it, and renews all leases of a worker with one call.
+ */
+public final class KeeperService implements Service {
+    private static final LeaseTerms TERMS = LeaseTerms.DEFAULT;
+    private static final Duration LEASE = Duration.ofMillis(TERMS.ttlMillis());
+
+    private final ScheduledExecutorService executor =
+            Executors.newSingleThreadScheduledExecutor(KeeperService::thread);
+    private final Map<String, GangWatch> watches = new ConcurrentHashMap<>();
+    private final Set<String> stopping = ConcurrentHashMap.newKeySet();
+    private final JobLedger ledger;
+    private final WorkerClient workers;
+    private final GangRunner runner;
+    private final Predicate<GangPlaced> selection;
+    private final BooleanSupplier viewValid;
+    private final Metrics metrics;
+
+    /**
+     * Creates the service.
+     *
+     * @param ledger tells which gangs are placed, not null
+     * @param workers calls the workers, not null
+     * @param runner stops gangs and records their ends, not null
+     * @param selection tells which gangs this process keeps, not null
+     * @param viewValid tells whether the view of the {@code jobs} stream is recent enough, or the
+     *     log is out of everybody's reach, not null
+     * @param metrics counts rounds and decisions, not null
+     */
+    public KeeperService(
+            JobLedger ledger,
+            WorkerClient workers,
+            GangRunner runner,
+            Predicate<GangPlaced> selection,
+            BooleanSupplier viewValid,
+            Metrics metrics) {
+        this.ledger = Objects.requireNonNull(ledger, "ledger");
+        this.workers = Objects.requireNonNull(workers, "workers");
+        this.runner = Objects.requireNonNull(runner, "runner");
+        this.selection = Objects.requireNonNull(selection, "selection");
+        this.viewValid = Objects.requireNonNull(viewValid, "viewValid");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+    }
+
+    @Override
+    public void start(String address) {
+        executor.execute(this::safeRound);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private void safeRound() {
+        CompletableFuture<Void> round;
+        try {
+            round = round();
+        } catch (RuntimeException e) {
+            round = CompletableFuture.failedFuture(e);
+        }
+        round.whenComplete((done, error) -> scheduleNext(error));
+    }
+
+    private void scheduleNext(Throwable error) {
+        if (error != null) {
+            metrics.count("keeper.round-failures");
+            EventLog.event("keeper-round-failed").error(error).error();
+        }
+        if (!executor.isShutdown()) {
+            executor.schedule(this::safeRound, TERMS.pollMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private CompletableFuture<Void> round() {
+        long now = Clocks.monotonicMillis();
+        List<GangPlaced> kept = ledger.openGangs().stream().filter(selection).toList();
+        watches.keySet()
+                .retainAll(kept.stream().map(GangPlaced::attempt).collect(Collectors.toSet()));
+        Map<String, String> addresses = new LinkedHashMap<>();
+        for (GangPlaced gang : kept) {
+            gang.members().forEach(m -> addresses.put(m.worker(), m.address()));
+        }
+        metrics.count("keeper.rounds");
+        return reports(addresses).thenCompose(reports -> decideAll(kept, reports, now));
+    }
+
+    private CompletableFuture<Map<String, WorkerReport>> reports(Map<String, String> addresses) {
+        Map<String, WorkerReport> reports = new ConcurrentHashMap<>();
+        List<CompletableFuture<Void>> calls = new ArrayList<>();
+        addresses.forEach(
+                (worker, address) ->
+                        calls.add(
+                                workers.report(address)
+                                        .handle((report, error) -> report)
+                                        .thenAccept(r -> keepReport(reports, worker, r))));
+        return Futures.all(calls).thenApply(done -> reports);
+    }
+
+    private void keepReport(Map<String, WorkerReport> reports, String worker, WorkerReport report) {
+        if (report == null) {
+            metrics.count("keeper.silent-workers");
+        } else if (report.worker().equals(worker)) {
+            reports.put(worker, report);
+        }
+    }
+
+    private CompletableFuture<Void> decideAll(
+            List<GangPlaced> gangs, Map<String, WorkerReport> reports, long roundAtMillis) {
+        long now = Clocks.monotonicMillis();
+        Map<String, List<String>> renewals = new LinkedHashMap<>();
+        for (GangPlaced gang : gangs) {
+            KeeperDecision decision = decide(gang, reports, roundAtMillis, now);
+            metrics.count("keeper.decisions." + decision.action().name().toLowerCase());
+            switch (decision.action()) {
+                case RENEW -> addRenewals(gang, renewals);
+                case COMPLETE -> {
+                    addRenewals(gang, renewals);
+                    complete(gang, decision);
+                }
+                case STOP -> stop(gang, decision);
+                default -> {}
+            }
+        }
+        List<CompletableFuture<?>> calls = new ArrayList<>();
+        renewals.forEach((address, leases) -> calls.add(renew(address, leases)));
+        return Futures.all(calls);
+    }
+
+    private KeeperDecision decide(
+            GangPlaced gang, Map<String, WorkerReport> reports, long roundAtMillis, long now) {
+        GangWatch watch = watches.computeIfAbsent(gang.attempt(), a -> new GangWatch(now));
+        boolean allAnswered =
+                gang.members().stream().allMatch(m -> reports.containsKey(m.worker()));
+        if (allAnswered) {
+            watch.answered(roundAtMillis);
+        }
+        boolean cancelled =
+                ledger.job(gang.job()).filter(j -> j.state() == JobState.CANCELLING).isPresent();
+        KeeperDecision decision =
+                GangKeeper.decide(
+                        new GangObservation(
+                                gang,
+                                reports,
+                                now - watch.knownSinceMillis(),
+                                now - watch.answeredAtMillis(),
+                                watch.checkpointMillis(),
+                                cancelled,
+                                viewValid.getAsBoolean()),
+                        TERMS);
+        watch.saved(decision.checkpointMillis());
+        return decision;
+    }
+
+    private static void addRenewals(GangPlaced gang, Map<String, List<String>> renewals) {
+        for (GangMember member : gang.members()) {
+            renewals.computeIfAbsent(member.address(), a -> new ArrayList<>())
+                    .add(member.lease());
+        }
+    }
+
+    private CompletableFuture<?> renew(String address, List<String> leases) {
+        return workers.renew(address, leases, LEASE)
+                .handle(
+                        (result, error) -> {
+                            metrics.count(
+                                    error == null ? "keeper.renewals" : "keeper.renewal-failures");
+                            return result;
+                        });
+    }
+
+    private void complete(GangPlaced gang, KeeperDecision decision) {
+        if (!stopping.add(gang.attempt())) {
+            return;
+        }
+        runner.recordThenRelease(gang, decision.result(), decision.reason())
+                .whenComplete((recorded, error) -> stopping.remove(gang.attempt()));
+    }
+
+    private void stop(GangPlaced gang, KeeperDecision decision) {
+        Optional<Job> job = ledger.job(gang.job());
+        if (job.isEmpty() || !stopping.add(gang.attempt())) {
+            return;
+        }
+        GangResult result = decision.result();
+        EventLog.event("gang-stopped-by-keeper")
+                .field("job", gang.job())
+                .field("attempt", gang.attempt())
+                .field("result", result.text())
+                .field("reason", decision.reason())
+                .warn();
+        runner.stopAndRecord(
+                        gang,
+                        job.get().spec().checkpointable(),
+                        result,
+                        decision.reason(),
+                        decision.workersAtFault(),
+                        decision.checkpointMillis())
+                .whenComplete((recorded, error) -> stopping.remove(gang.attempt()));
+    }
+
+    private static Thread thread(Runnable task) {
+        Thread thread = new Thread(task, "keeper");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Remembers what earlier rounds saw of one gang. */
+    private static final class GangWatch {
+        private final long knownSinceMillis;
+        private long answeredAtMillis;
+        private long checkpointMillis;
+
+        GangWatch(long nowMillis) {
+            knownSinceMillis = nowMillis;
+            answeredAtMillis = nowMillis;
+        }
+
+        synchronized void answered(long roundAtMillis) {
+            answeredAtMillis = Math.max(answeredAtMillis, roundAtMillis);
+        }
+
+        synchronized void saved(long millis) {
+            checkpointMillis = Math.max(checkpointMillis, millis);
+        }
+
+        long knownSinceMillis() {
+            return knownSinceMillis;
+        }
+
+        synchronized long answeredAtMillis() {
+            return answeredAtMillis;
+        }
+
+        synchronized long checkpointMillis() {
+            return checkpointMillis;
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlanInputBuilder.java
@@ -0,0 +1,163 @@
+package org.fescueloom.daemon.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.fescueloom.config.ConfigurationDocument;
+import org.fescueloom.config.ZoneState;
+import org.fescueloom.job.FailureLedger;
+import org.fescueloom.job.GangMember;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.Job;
+import org.fescueloom.job.JobBook;
+import org.fescueloom.job.JobState;
+import org.fescueloom.member.Member;
+import org.fescueloom.member.MemberState;
+import org.fescueloom.placement.Allocation;
+import org.fescueloom.placement.ClusterView;
+import org.fescueloom.placement.PlanInput;
+import org.fescueloom.placement.RunTimeEstimates;
+import org.fescueloom.placement.TaskPlacement;
+import org.fescueloom.placement.WaitingJob;
+import org.fescueloom.placement.WorkerCondition;
+import org.fescueloom.placement.WorkerView;
+import org.fescueloom.wire.WorkerCapacity;
+
+/** Builds what one planning round depends on from the job book, the members and the settings. */
+public final class PlanInputBuilder {
+    private final RunTimeEstimates estimates;
+
+    /**
+     * Creates a builder.
+     *
+     * @param estimates what was seen of run times, not null
+     */
+    public PlanInputBuilder(RunTimeEstimates estimates) {
+        this.estimates = Objects.requireNonNull(estimates, "estimates");
+    }
+
+    /**
+     * Builds the input.
+     *
+     * @param book the jobs, not null
+     * @param workers the workers that announced themselves, not null
+     * @param document the configuration in force, not null
+     * @param backoffs which waiting jobs are not to be tried yet, not null
+     * @param starting the gangs that are being started, by job, not null
+     * @param ending the jobs whose gangs have been told to stop, not null
+     * @param nowMillis the time, in milliseconds since the epoch
+     * @return the input, never null
+     */
+    public PlanInput build(
+            JobBook book,
+            List<Member> workers,
+            ConfigurationDocument document,
+            Map<String, StartBackoff> backoffs,
+            Map<String, GangPlaced> starting,
+            Set<String> ending,
+            long nowMillis) {
+        List<WorkerView> views =
+                workers.stream()
+                        .filter(w -> w.announcement().worker() != null)
+                        .map(w -> view(w, document, book.failures(), nowMillis))
+                        .toList();
+        List<Allocation> allocations = new ArrayList<>();
+        List<WaitingJob> waiting = new ArrayList<>();
+        for (Job job : book.jobs()) {
+            if (job.state().hasGang()) {
+                job.currentAttempt()
+                        .ifPresent(a -> allocations.add(allocation(job, a.placed(), ending)));
+            } else if (starting.containsKey(job.id())) {
+                allocations.add(allocation(job, starting.get(job.id()), Set.of()));
+            } else if (job.state() == JobState.WAITING) {
+                waiting.add(waiting(job, backoffs.get(job.id())));
+            }
+        }
+        ClusterView cluster = new ClusterView(views, allocations);
+        return new PlanInput(nowMillis, cluster, waiting, document.customers(), estimates);
+    }
+
+    /**
+     * Describes a worker as the planner sees it.
+     *
+     * @param member the worker's announcement, not null
+     * @param document the configuration in force, not null
+     * @param failures what failures tell about workers, not null
+     * @param nowMillis the time, in milliseconds since the epoch
+     * @return the view, never null
+     */
+    public static WorkerView view(
+            Member member,
+            ConfigurationDocument document,
+            FailureLedger failures,
+            long nowMillis) {
+        WorkerCapacity capacity = member.announcement().worker();
+        return new WorkerView(
+                member.id(),
+                member.announcement().zone(),
+                capacity.rack(),
+                capacity.position(),
+                capacity.accelerators(),
+                capacity.cpus(),
+                capacity.memoryMb(),
+                condition(member, document, failures, nowMillis));
+    }
+
+    private static WorkerCondition condition(
+            Member member,
+            ConfigurationDocument document,
+            FailureLedger failures,
+            long nowMillis) {
+        boolean zoneIn =
+                document.zone(member.announcement().zone())
+                        .filter(z -> z.state() == ZoneState.IN)
+                        .isPresent();
+        if (!zoneIn) {
+            return WorkerCondition.ZONE_OUT;
+        }
+        if (member.state() != MemberState.ALIVE) {
+            return WorkerCondition.UNREACHABLE;
+        }
+        return switch (failures.health(member.id()).standing(nowMillis)) {
+            case TRUSTED -> WorkerCondition.USABLE;
+            case ON_PROBATION -> WorkerCondition.ON_PROBATION;
+            case SET_ASIDE -> WorkerCondition.SET_ASIDE;
+        };
+    }
+
+    private Allocation allocation(Job job, GangPlaced placed, Set<String> ending) {
+        List<TaskPlacement> members = new ArrayList<>();
+        for (GangMember member : placed.members()) {
+            int task = Integer.parseInt(member.task());
+            members.add(new TaskPlacement(task, member.worker(), member.accelerators()));
+        }
+        long expected =
+                estimates.expectedMillis(
+                        job.spec().customer(),
+                        job.spec().serviceClass(),
+                        job.declaredRemainingMillis());
+        long started = placed.placedAtMillis();
+        return new Allocation(
+                job.id(),
+                job.spec(),
+                members,
+                placed.claims(),
+                started,
+                started,
+                started + expected,
+                job.state() == JobState.CANCELLING || ending.contains(job.id()));
+    }
+
+    private static WaitingJob waiting(Job job, StartBackoff backoff) {
+        Set<String> avoided = job.failedWorkers();
+        return new WaitingJob(
+                job.id(),
+                job.spec(),
+                job.acceptedAtMillis(),
+                backoff == null ? 0L : backoff.notBeforeMillis(),
+                job.declaredRemainingMillis(),
+                avoided);
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlannerService.java
@@ -0,0 +1,230 @@
+package org.fescueloom.daemon.jobs;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.fescueloom.daemon.Service;
+import org.fescueloom.daemon.cluster.Clocks;
+import org.fescueloom.daemon.cluster.LogClient;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.job.EpochClaim;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.GangResult;
+import org.fescueloom.job.PlannerStarted;
+import org.fescueloom.json.Json;
+import org.fescueloom.placement.MoveGang;
+import org.fescueloom.placement.Plan;
+import org.fescueloom.placement.PlanInput;
+import org.fescueloom.placement.Planner;
+import org.fescueloom.placement.PreemptGang;
+import org.fescueloom.placement.StartGang;
+
+/**
+ * Plans jobs while this entry holds the claim in the log.
+ *
+ * <p>The state of a new planner is the fold of the {@code jobs} stream, so it plans as soon as its
+ * own start is folded. All work is done on one thread; calls to workers do not block it.
+ */
+public final class PlannerService implements Service {
+    private static final long ROUND_MILLIS = 200L;
+    private static final long DRAIN_SECONDS = 5L;
+
+    private final ScheduledExecutorService executor =
+            Executors.newSingleThreadScheduledExecutor(PlannerService::thread);
+    private final AtomicBoolean claiming = new AtomicBoolean();
+    private final JobCluster cluster;
+    private final PlannerElection election;
+    private final JobLedger ledger;
+    private final JobLog jobLog;
+    private final LogClient log;
+    private final GangRunner runner;
+    private final PlanInputBuilder inputs;
+    private final Planner planner;
+    private final PlanBoard board;
+    private final Metrics metrics;
+    private volatile long startedEpoch = -1L;
+    private volatile boolean draining;
+
+    /**
+     * Creates the service.
+     *
+     * @param cluster gives the members and the configuration, not null
+     * @param election decides who plans, not null
+     * @param ledger keeps the jobs, not null
+     * @param jobLog writes job records, not null
+     * @param log writes claims, not null
+     * @param runner carries out decisions, not null
+     * @param inputs builds the input of a round, not null
+     * @param planner decides, not null
+     * @param board keeps the reasons for waiting, not null
+     * @param metrics counts rounds and decisions, not null
+     */
+    public PlannerService(
+            JobCluster cluster,
+            PlannerElection election,
+            JobLedger ledger,
+            JobLog jobLog,
+            LogClient log,
+            GangRunner runner,
+            PlanInputBuilder inputs,
+            Planner planner,
+            PlanBoard board,
+            Metrics metrics) {
+        this.cluster = Objects.requireNonNull(cluster, "cluster");
+        this.election = Objects.requireNonNull(election, "election");
+        this.ledger = Objects.requireNonNull(ledger, "ledger");
+        this.jobLog = Objects.requireNonNull(jobLog, "jobLog");
+        this.log = Objects.requireNonNull(log, "log");
+        this.runner = Objects.requireNonNull(runner, "runner");
+        this.inputs = Objects.requireNonNull(inputs, "inputs");
+        this.planner = Objects.requireNonNull(planner, "planner");
+        this.board = Objects.requireNonNull(board, "board");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+    }
+
+    @Override
+    public void start(String address) {
+        executor.scheduleWithFixedDelay(
+                this::safeRound, ROUND_MILLIS, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Stops planning and waits for the starts and stops in progress. */
+    @Override
+    public void drain() {
+        draining = true;
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(DRAIN_SECONDS);
+        while (!runner.busy().isEmpty() && System.nanoTime() < deadline) {
+            if (!sleep(ROUND_MILLIS)) {
+                return;
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    /**
+     * Tells whether this entry plans now.
+     *
+     * @return true if its claim holds and its start is folded
+     */
+    public boolean isPlanning() {
+        return election.heldEpoch().filter(e -> e == startedEpoch).isPresent();
+    }
+
+    private void safeRound() {
+        try {
+            round();
+        } catch (RuntimeException e) {
+            metrics.count("planner.round-failures");
+            EventLog.event("planning-failed").error(e).error();
+        }
+    }
+
+    private void round() {
+        if (draining) {
+            return;
+        }
+        Optional<Long> epoch = election.heldEpoch();
+        if (epoch.isEmpty()) {
+            claimIfVacant();
+        } else if (epoch.get() != startedEpoch) {
+            announceStart(epoch.get());
+        } else {
+            plan(epoch.get());
+        }
+    }
+
+    private void claimIfVacant() {
+        if (!election.shouldClaim(Clocks.monotonicMillis()) || !claiming.compareAndSet(false, true)) {
+            return;
+        }
+        EpochClaim claim = election.claim(System.currentTimeMillis());
+        EventLog.event("planner-claiming").info();
+        log.append(EpochClaim.STREAM, Json.tree(claim))
+                .whenComplete(
+                        (offset, error) -> {
+                            claiming.set(false);
+                            metrics.count(
+                                    error == null ? "planner.claims" : "planner.claim-failures");
+                        });
+    }
+
+    private void announceStart(long epoch) {
+        if (!claiming.compareAndSet(false, true)) {
+            return;
+        }
+        PlannerStarted started = new PlannerStarted(epoch, System.currentTimeMillis());
+        jobLog.append("planner-started-" + epoch, started)
+                .whenComplete(
+                        (effect, error) -> {
+                            claiming.set(false);
+                            if (error == null) {
+                                startedEpoch = epoch;
+                                EventLog.event("planner-started").field("epoch", epoch).info();
+                            }
+                        });
+    }
+
+    private void plan(long epoch) {
+        Map<String, GangPlaced> starting = runner.starting();
+        Set<String> ending = new HashSet<>(runner.busy());
+        ending.removeAll(starting.keySet());
+        PlanInput input =
+                ledger.read(
+                        book ->
+                                inputs.build(
+                                        book,
+                                        cluster.workers(),
+                                        cluster.document(),
+                                        runner.backoffs(),
+                                        starting,
+                                        ending,
+                                        System.currentTimeMillis()));
+        Plan plan;
+        try (var ignored = metrics.timer("planner.round").time()) {
+            plan = planner.plan(input);
+        }
+        board.post(plan);
+        carryOut(plan, epoch);
+    }
+
+    private void carryOut(Plan plan, long epoch) {
+        for (PreemptGang preempt : plan.decisions(PreemptGang.class)) {
+            runner.stop(preempt.job(), GangResult.PREEMPTED, preempt.words());
+        }
+        for (MoveGang move : plan.decisions(MoveGang.class)) {
+            runner.stop(move.job(), GangResult.MOVED, move.words());
+        }
+        List<StartGang> starts = plan.decisions(StartGang.class);
+        for (StartGang start : starts) {
+            runner.start(start, epoch, cluster::address);
+        }
+    }
+
+    private static boolean sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private static Thread thread(Runnable task) {
+        Thread thread = new Thread(task, "planner");
+        thread.setDaemon(true);
+        return thread;
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/WaitingNote.java
@@ -0,0 +1,31 @@
+package org.fescueloom.daemon.jobs;
+
+import java.time.Instant;
+import java.util.Objects;
+import org.fescueloom.placement.ReserveGang;
+
+/**
+ * Says why a job waits.
+ *
+ * @param reason the type of the reason, not null
+ * @param detail the reason in words, not null
+ */
+public record WaitingNote(String reason, String detail) {
+    /** Checks that no component is null. */
+    public WaitingNote {
+        Objects.requireNonNull(reason, "reason");
+        Objects.requireNonNull(detail, "detail");
+    }
+
+    /**
+     * Returns this note with a reservation.
+     *
+     * @param reservation the reservation, not null
+     * @return the note, never null
+     */
+    public WaitingNote withReservation(ReserveGang reservation) {
+        String workers = String.join(", ", reservation.workers().stream().sorted().toList());
+        Instant from = Instant.ofEpochMilli(reservation.fromMillis());
+        return new WaitingNote(reason, detail + "; reserved from " + from + " on " + workers);
+    }
+}
