Add the command-line tool fescueloom

Cause: operators need status, upstreams, workers, configuration, zones, jobs, requests and explanations in a shell, for people and for scripts. Ruled out: repeating a request whose answer was lost at the next entry unless it is marked idempotent; repeating a publication, whose second try would report a conflict that never was; publishing over the latest version without being told to, which would lose another operator's change. Conclusion: the tool is proved against a fake entry only so far.

--- /dev/null
+++ b/fescueloom-cli/src/main/java/org/fescueloom/cli/EntryAnswer.java
@@ -0,0 +1,61 @@
+package org.fescueloom.cli;
+
+import java.util.Objects;
+import java.util.Optional;
+import okhttp3.Headers;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.json.Json;
+
+/**
+ * Holds the whole answer of an entry.
+ *
+ * @param entry the address of the entry, not null
+ * @param status the HTTP status
+ * @param headers the headers, not null
+ * @param body the body, not null
+ */
+public record EntryAnswer(String entry, int status, Headers headers, byte[] body) {
+    /** Checks that no component is null. */
+    public EntryAnswer {
+        Objects.requireNonNull(entry, "entry");
+        Objects.requireNonNull(headers, "headers");
+        Objects.requireNonNull(body, "body");
+    }
+
+    /**
+     * Tells whether the status stands for success.
+     *
+     * @return true for a status from 200 to 299
+     */
+    public boolean isSuccess() {
+        return status >= 200 && status < 300;
+    }
+
+    /**
+     * Returns a header.
+     *
+     * @param name the name, not null
+     * @return the value, or empty if it is missing
+     */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(headers.get(name));
+    }
+
+    /**
+     * Reads the body as a value; unknown fields are passed over.
+     *
+     * @param <T> the type of the value
+     * @param type the class of the value, not null
+     * @return the value, never null
+     * @throws CommandException with status {@code INVALID_ANSWER} if the body is no such value
+     */
+    public <T> T read(Class<T> type) {
+        try {
+            return Json.read(body, type);
+        } catch (SchedulerException e) {
+            throw new CommandException(
+                    ExitStatus.INVALID_ANSWER,
+                    "entry " + entry + " answered with status " + status + ": " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-cli/src/main/java/org/fescueloom/cli/GlobalOptions.java
@@ -0,0 +1,90 @@
+package org.fescueloom.cli;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.fescueloom.wire.SocketAddresses;
+
+/** Defines the options that every command has. */
+final class GlobalOptions {
+    /** The long name of the option for JSON output. */
+    static final String JSON = "json";
+
+    /** The long name of the option for help. */
+    static final String HELP = "help";
+
+    /** The variable that names entries, separated by commas. */
+    static final String ENTRIES_VARIABLE = "FESCUELOOM_ENTRIES";
+
+    private static final String ENTRY = "entry";
+    private static final String TIMEOUT = "timeout";
+    private static final long DEFAULT_TIMEOUT_SECONDS = 60;
+    private static final long MAX_TIMEOUT_SECONDS = 86_400;
+
+    private GlobalOptions() {}
+
+    static Options create() {
+        Options options = new Options();
+        options.addOption(
+                Option.builder("e")
+                        .longOpt(ENTRY)
+                        .hasArg()
+                        .argName("ADDRESS")
+                        .desc(
+                                "an entry, as IP number and port; may be repeated, the first that"
+                                        + " answers is used; default: "
+                                        + ENTRIES_VARIABLE)
+                        .build());
+        options.addOption(Option.builder().longOpt(JSON).desc("print the answer as JSON").build());
+        options.addOption(
+                Option.builder()
+                        .longOpt(TIMEOUT)
+                        .hasArg()
+                        .argName("SECONDS")
+                        .desc("the longest wait for an answer; default: " + DEFAULT_TIMEOUT_SECONDS)
+                        .build());
+        options.addOption(Option.builder("h").longOpt(HELP).desc("print help").build());
+        return options;
+    }
+
+    static List<String> entries(CommandLine line, Map<String, String> environment) {
+        List<String> entries = new ArrayList<>();
+        if (line.hasOption(ENTRY)) {
+            entries.addAll(Arrays.asList(line.getOptionValues(ENTRY)));
+        } else {
+            Arrays.stream(environment.getOrDefault(ENTRIES_VARIABLE, "").split(","))
+                    .map(String::trim)
+                    .filter(text -> !text.isEmpty())
+                    .forEach(entries::add);
+        }
+        if (entries.isEmpty()) {
+            throw new CommandException(
+                    ExitStatus.USAGE,
+                    "no entry is named; give --entry ADDRESS or set " + ENTRIES_VARIABLE);
+        }
+        for (String entry : entries) {
+            if (!SocketAddresses.isConnectable(entry)) {
+                throw new CommandException(
+                        ExitStatus.USAGE, "entry " + entry + " must be " + SocketAddresses.FORM);
+            }
+        }
+        return entries;
+    }
+
+    static Duration timeout(CommandLine line) {
+        String text = line.getOptionValue(TIMEOUT, Long.toString(DEFAULT_TIMEOUT_SECONDS));
+        if (!text.matches("[0-9]{1,5}")
+                || Long.parseLong(text) < 1
+                || Long.parseLong(text) > MAX_TIMEOUT_SECONDS) {
+            throw new CommandException(
+                    ExitStatus.USAGE,
+                    "--timeout must be from 1 to " + MAX_TIMEOUT_SECONDS + " seconds, not " + text);
+        }
+        return Duration.ofSeconds(Long.parseLong(text));
+    }
+}
--- /dev/null
+++ b/fescueloom-cli/src/test/java/org/fescueloom/cli/CommandLineMainTest.java
@@ -0,0 +1,354 @@
+package org.fescueloom.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fescueloom.config.Adjacency;
+import org.fescueloom.config.ConfigurationDocument;
+import org.fescueloom.config.ZoneState;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.job.JobSpec;
+import org.fescueloom.json.Json;
+import org.fescueloom.report.JobReport;
+import org.fescueloom.report.JobsReport;
+import org.fescueloom.report.PlacementReport;
+import org.fescueloom.report.StatusReport;
+import org.fescueloom.report.VersionReport;
+import org.fescueloom.report.ZoneChangeReport;
+import org.fescueloom.report.ZoneReport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class CommandLineMainTest {
+    private static final JobSpec SPEC =
+            new JobSpec("parks", "weave", 2, 4, Adjacency.RACK, 4, 1024, 60, true, false, "weave");
+
+    @TempDir Path directory;
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private final Map<String, String> environment = new HashMap<>();
+    private byte[] input = new byte[0];
+    private FakeEntry entry;
+
+    @BeforeEach
+    void startEntry() throws IOException {
+        entry = new FakeEntry();
+    }
+
+    @AfterEach
+    void stopEntry() {
+        entry.close();
+    }
+
+    private ExitStatus run(String... arguments) {
+        out.reset();
+        err.reset();
+        return new CommandLineMain(
+                        environment,
+                        new ByteArrayInputStream(input),
+                        new PrintStream(out, true, StandardCharsets.UTF_8),
+                        new PrintStream(err, true, StandardCharsets.UTF_8))
+                .run(arguments);
+    }
+
+    private ExitStatus ask(String... arguments) {
+        List<String> all = new ArrayList<>(Arrays.asList(arguments));
+        all.addAll(List.of("--entry", entry.address()));
+        return run(all.toArray(String[]::new));
+    }
+
+    private String out() {
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private String err() {
+        return err.toString(StandardCharsets.UTF_8);
+    }
+
+    private static JobReport job(String state) {
+        return new JobReport(
+                "j1",
+                state,
+                "fragmented",
+                "no rack has 8 free accelerators",
+                2,
+                List.of(new PlacementReport("0", "w-1", List.of(0, 1, 2, 3))),
+                SPEC);
+    }
+
+    private static String closedAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
+    private String file(String name, Object value) throws IOException {
+        return Files.write(directory.resolve(name), Json.write(value)).toString();
+    }
+
+    @Nested
+    class Arguments {
+        @Test
+        void printsHelpForEachCommand() {
+            assertThat(run("--help")).isEqualTo(ExitStatus.OK);
+            String overview = out();
+            for (Command command : Command.values()) {
+                assertThat(overview).contains(command.usage());
+                List<String> words = new ArrayList<>(Arrays.asList(command.usage().split(" ")));
+                words.add("--help");
+                assertThat(run(words.toArray(String[]::new))).isEqualTo(ExitStatus.OK);
+                assertThat(out()).contains(command.summary()).contains("--entry");
+            }
+        }
+
+        @Test
+        void refusesWhatItCannotUse() {
+            String[][] lines = {
+                {},
+                {"dance"},
+                {"status"},
+                {"status", "--loud", "--entry", "127.0.0.1:1"},
+                {"status", "--entry", "localhost:80"},
+                {"status", "--timeout", "0", "--entry", "127.0.0.1:1"},
+                {"job", "show", "--entry", "127.0.0.1:1"},
+                {"job", "submit", "j1", "absent.json", "--entry", "127.0.0.1:1"},
+                {"config", "put", "absent.json", "--latest", "--entry", "127.0.0.1:1"},
+                {"request", "send", "weave", "--entry", "127.0.0.1:1"},
+            };
+            for (String[] line : lines) {
+                assertThat(run(line)).as(String.join(" ", line)).isEqualTo(ExitStatus.USAGE);
+                assertThat(err()).isNotEmpty();
+            }
+            assertThat(entry.calls()).isEmpty();
+        }
+
+        @Test
+        void hasDistinctExitStatuses() {
+            assertThat(ExitStatus.values()).extracting(ExitStatus::code).doesNotHaveDuplicates();
+            for (FailureType type : FailureType.values()) {
+                assertThat(ExitStatus.of(type)).isNotEqualTo(ExitStatus.OK);
+            }
+        }
+    }
+
+    @Nested
+    class Entries {
+        @Test
+        void saysClearlyThatNoEntryIsThere() throws IOException {
+            String closed = closedAddress();
+            assertThat(run("status", "--entry", closed)).isEqualTo(ExitStatus.NO_ENTRY);
+            assertThat(err()).contains(closed + " refused the connection");
+        }
+
+        @Test
+        void triesTheNextEntryOfTheOptionOrTheVariable() throws IOException {
+            entry.answer("GET /v1/jobs", 200, new JobsReport(List.of()));
+            String closed = closedAddress();
+            assertThat(run("job", "list", "-e", closed, "-e", entry.address()))
+                    .isEqualTo(ExitStatus.OK);
+            environment.put("FESCUELOOM_ENTRIES", closed + "," + entry.address());
+            assertThat(run("--json", "job", "list")).isEqualTo(ExitStatus.OK);
+            assertThat(out()).startsWith("{\"jobs\":[");
+        }
+
+        @Test
+        void passesOverAnEntryThatShutsDown() throws IOException {
+            try (FakeEntry leaving = new FakeEntry()) {
+                leaving.fail("GET /v1/jobs", FailureType.SHUTTING_DOWN);
+                entry.answer("GET /v1/jobs", 200, new JobsReport(List.of()));
+                assertThat(run("job", "list", "-e", leaving.address(), "-e", entry.address()))
+                        .isEqualTo(ExitStatus.OK);
+            }
+        }
+
+        @Test
+        void repeatsALostCallOnlyIfThatIsSafe() throws IOException {
+            String path = "POST /v1/classes/weave/requests";
+            try (FakeEntry next = new FakeEntry()) {
+                entry.cutOff(path);
+                next.answer(path, 200, "x".getBytes(StandardCharsets.UTF_8));
+                String[] once = {
+                    "request",
+                    "send",
+                    "weave",
+                    "--customer",
+                    "parks",
+                    "-e",
+                    entry.address(),
+                    "-e",
+                    next.address()
+                };
+                assertThat(run(once)).isEqualTo(ExitStatus.UNKNOWN);
+                assertThat(next.calls()).isEmpty();
+                String[] repeated = Arrays.copyOf(once, once.length + 1);
+                repeated[once.length] = "--idempotent";
+                assertThat(run(repeated)).isEqualTo(ExitStatus.OK);
+                assertThat(next.calls()).hasSize(1);
+            }
+        }
+
+        @Test
+        void reportsAnswersThatItCannotRead() {
+            assertThat(ask("status")).isEqualTo(ExitStatus.INVALID_ANSWER);
+            entry.answer("GET /v1/status", 200, "<html>".getBytes(StandardCharsets.UTF_8));
+            assertThat(ask("status")).isEqualTo(ExitStatus.INVALID_ANSWER);
+        }
+    }
+
+    @Nested
+    class Status {
+        @Test
+        void showsZonesAndJobs() {
+            ZoneReport zone = new ZoneReport("north-yard", "default", ZoneState.OUT, 3, 4, 32, 30);
+            entry.answer(
+                    "GET /v1/status",
+                    200,
+                    new StatusReport(
+                            "entry-1",
+                            "harbor-shed",
+                            7,
+                            1500,
+                            true,
+                            null,
+                            List.of(zone),
+                            null,
+                            Map.of("running", 2)));
+            assertThat(ask("status")).isEqualTo(ExitStatus.OK);
+            assertThat(out())
+                    .contains("version 7, confirmed 1.5 s ago")
+                    .contains("2 running")
+                    .containsPattern("north-yard +default +out +3 +4 +30/32");
+        }
+    }
+
+    @Nested
+    class Configuration {
+        @Test
+        void publishesOverTheVersionThatWasEdited() throws IOException {
+            entry.answer("PUT /v1/config", 200, new VersionReport(8));
+            String document = file("config.json", ConfigurationDocument.EMPTY);
+            assertThat(ask("config", "put", document, "--base", "7")).isEqualTo(ExitStatus.OK);
+            assertThat(out()).contains("published version 8");
+            assertThat(entry.calls().get(0).headers().get("If-match")).containsExactly("\"7\"");
+        }
+
+        @Test
+        void replacesTheLatestVersionOnlyWhenToldTo() throws IOException {
+            entry.answer("GET /v1/config", 200, ConfigurationDocument.EMPTY, "ETag", "\"9\"");
+            entry.answer("PUT /v1/config", 200, new VersionReport(10));
+            String document = file("config.json", ConfigurationDocument.EMPTY);
+            assertThat(ask("config", "put", document)).isEqualTo(ExitStatus.USAGE);
+            assertThat(ask("config", "put", document, "--latest")).isEqualTo(ExitStatus.OK);
+            assertThat(entry.calls().get(1).headers().get("If-match")).containsExactly("\"9\"");
+        }
+
+        @Test
+        void namesEveryFaultAndTellsFailuresApart() throws IOException {
+            String document = file("config.json", ConfigurationDocument.EMPTY);
+            Map<String, Object> body =
+                    Map.of(
+                            "error", "invalid-configuration",
+                            "outcome", "not-run",
+                            "detail", "1 fault",
+                            "faults",
+                                    List.of(
+                                            Map.of(
+                                                    "path", "customers[0].guaranteedShare",
+                                                    "value", "2.0",
+                                                    "allowed", "0 to 1")));
+            entry.answer("PUT /v1/config", 422, body);
+            assertThat(ask("config", "put", document, "--base", "1")).isEqualTo(ExitStatus.REFUSED);
+            assertThat(err()).contains("customers[0].guaranteedShare: found 2.0; allowed: 0 to 1");
+            entry.fail("PUT /v1/config", FailureType.VERSION_CONFLICT);
+            assertThat(ask("config", "put", document, "--base", "1"))
+                    .isEqualTo(ExitStatus.CONFLICT);
+            entry.fail("PUT /v1/config", FailureType.LOG_UNDECIDED);
+            assertThat(ask("config", "put", document, "--base", "1")).isEqualTo(ExitStatus.UNKNOWN);
+        }
+
+        @Test
+        void saysWhoHasNotConfirmedAZoneChange() {
+            entry.answer(
+                    "PUT /v1/zones/north-yard",
+                    200,
+                    new ZoneChangeReport(
+                            "north-yard", ZoneState.OUT, 8, false, List.of("agent-3"), null));
+            assertThat(ask("zone", "out", "north-yard")).isEqualTo(ExitStatus.NOT_IN_FORCE);
+            assertThat(out()).contains("version 8, not yet confirmed by:").contains("agent-3");
+            assertThat(entry.calls().get(0).body())
+                    .asString(StandardCharsets.UTF_8)
+                    .isEqualTo("{\"state\":\"out\"}");
+        }
+    }
+
+    @Nested
+    class Jobs {
+        @Test
+        void submitsAndWaitsForTheEnd() throws IOException {
+            String spec = file("job.json", SPEC);
+            entry.answer("PUT /v1/jobs/j1", 202, job("waiting"));
+            entry.answer("GET /v1/jobs/j1", 200, job("succeeded"));
+            assertThat(ask("job", "submit", "j1", spec)).isEqualTo(ExitStatus.OK);
+            assertThat(out()).contains("fragmented: no rack has 8 free accelerators");
+            assertThat(ask("job", "submit", "j1", spec, "--wait")).isEqualTo(ExitStatus.OK);
+            assertThat(out()).contains("state     succeeded").contains("on w-1");
+            entry.answer("GET /v1/jobs/j1", 200, job("failed"));
+            assertThat(ask("job", "submit", "j1", spec, "--wait")).isEqualTo(ExitStatus.FAILED);
+        }
+
+        @Test
+        void listsAndCancels() {
+            entry.answer(
+                    "GET /v1/jobs?customer=parks", 200, new JobsReport(List.of(job("waiting"))));
+            assertThat(ask("job", "list", "--customer", "parks")).isEqualTo(ExitStatus.OK);
+            assertThat(out()).containsPattern("j1 +parks +waiting +2x4 +2 +fragmented");
+            entry.fail("DELETE /v1/jobs/j2", FailureType.NOT_FOUND);
+            assertThat(ask("job", "cancel", "j2")).isEqualTo(ExitStatus.NOT_FOUND);
+        }
+    }
+
+    @Nested
+    class Requests {
+        @Test
+        void printsTheAnswerByteForByte() {
+            byte[] answer = {0, 1, -1, 10, 13};
+            entry.answer(
+                    "POST /v1/classes/weave/requests", 200, answer, "Served-By", "weaveplan-1");
+            input = new byte[] {9, 8, 7};
+            assertThat(ask("request", "send", "weave", "--customer", "parks", "--file", "-"))
+                    .isEqualTo(ExitStatus.OK);
+            assertThat(out.toByteArray()).isEqualTo(answer);
+            assertThat(err()).contains("answered by weaveplan-1");
+            assertThat(entry.calls().get(0).body()).isEqualTo(input);
+            assertThat(entry.calls().get(0).headers()).containsKey("Request-id");
+        }
+
+        @Test
+        void tellsWhetherAndWhenToTryAgain() {
+            String path = "POST /v1/classes/weave/requests";
+            entry.fail(path, FailureType.UPSTREAM_FULL, "Retry-After", "2");
+            assertThat(ask("request", "send", "weave", "--customer", "parks"))
+                    .isEqualTo(ExitStatus.UNAVAILABLE);
+            assertThat(err()).contains("upstream-full (not-run)").contains("try again in 2 s");
+            entry.fail(path, FailureType.UPSTREAM_FAILED);
+            assertThat(ask("request", "send", "weave", "--customer", "parks"))
+                    .isEqualTo(ExitStatus.FAILED);
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-cli/src/test/java/org/fescueloom/cli/RackDrawingTest.java
@@ -0,0 +1,66 @@
+package org.fescueloom.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.fescueloom.report.AcceleratorReport;
+import org.fescueloom.report.AcceleratorUse;
+import org.fescueloom.report.WorkerSummary;
+import org.junit.jupiter.api.Test;
+
+class RackDrawingTest {
+    private static WorkerSummary worker(String name, String rack, AcceleratorReport... items) {
+        return new WorkerSummary(
+                name, "north-yard", rack, 0, "ready", 32, 131072, List.of(items), 10);
+    }
+
+    private static AcceleratorReport used(int place, String customer, AcceleratorUse use) {
+        return new AcceleratorReport(place, use, customer, "job-1");
+    }
+
+    private static AcceleratorReport free(int place) {
+        return new AcceleratorReport(place, AcceleratorUse.FREE, null, null);
+    }
+
+    @Test
+    void drawsCustomersByLetterAndBorrowedOnesSmall() {
+        List<String> lines =
+                RackDrawing.lines(
+                        List.of(
+                                worker("w-10", "r2", free(0), free(1)),
+                                worker(
+                                        "w-1",
+                                        "r1",
+                                        used(0, "parks", AcceleratorUse.GUARANTEED),
+                                        used(1, "parks", AcceleratorUse.BORROWED),
+                                        used(2, "foremen", AcceleratorUse.GUARANTEED),
+                                        free(3))));
+        assertThat(lines)
+                .startsWith(
+                        "north-yard / rack r1",
+                        "  w-1   ready  A a B .",
+                        "north-yard / rack r2",
+                        "  w-10  ready  . .")
+                .contains("A     parks     1           1", "B     foremen   1           0")
+                .endsWith("3 of 6 accelerators are free (.); a small letter is borrowed");
+    }
+
+    @Test
+    void sharesOneMarkBeyondTwentySixCustomers() {
+        List<AcceleratorReport> items = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            items.add(used(i, "team-" + i, AcceleratorUse.GUARANTEED));
+        }
+        List<String> lines =
+                RackDrawing.lines(
+                        List.of(worker("w", "r", items.toArray(AcceleratorReport[]::new))));
+        assertThat(lines.get(1)).contains(" Z * * * *");
+        assertThat(lines).anyMatch(l -> l.startsWith("0 of 30"));
+    }
+
+    @Test
+    void saysThatThereAreNone() {
+        assertThat(RackDrawing.lines(List.of())).containsExactly("no workers announce themselves");
+    }
+}
