--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/settings/SettingsLoader.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/settings/SettingsLoader.java
@@ -38,9 +38,9 @@
                     "logLevel",
                     "limits");
     private static final List<String> LIMIT_FIELDS = List.of("maxBodyBytes");
-    private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9.-]{0,63}");
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
     private static final String NAME_FORM =
-            "1 to 64 small letters, digits, hyphens and dots, starting with a letter or a digit";
+            "1 to 64 letters, digits, dots, hyphens, underscores; starts with a letter or digit";
     private static final String NOTHING = "nothing";
 
     private final List<SettingsFault> faults = new ArrayList<>();
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/settings/ExamplesTest.java
@@ -0,0 +1,64 @@
+package org.fescueloom.daemon.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.fescueloom.config.ConfigurationChecker;
+import org.fescueloom.config.ConfigurationDocument;
+import org.fescueloom.job.JobSpec;
+import org.fescueloom.json.Json;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ExamplesTest {
+    private static final Path EXAMPLES = Path.of("..", "examples");
+
+    private static List<Path> files(String directory) throws IOException {
+        List<Path> files = new ArrayList<>();
+        try (DirectoryStream<Path> all =
+                Files.newDirectoryStream(EXAMPLES.resolve(directory), "*.json")) {
+            all.forEach(files::add);
+        }
+        return files;
+    }
+
+    @Test
+    void settingsAreValid() throws IOException {
+        assertThat(files("settings")).hasSize(4);
+        for (Path file : files("settings")) {
+            assertThat(SettingsLoader.load(file).member()).isNotEmpty();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"lakeshore.json", "council.json"})
+    void configurationsAreValid(String file) throws IOException {
+        byte[] text = Files.readAllBytes(EXAMPLES.resolve(file));
+        ConfigurationDocument document = Json.readStrict(text, ConfigurationDocument.class);
+        assertThat(ConfigurationChecker.check(document)).isEmpty();
+        assertThat(document.zones()).hasSize(3);
+        assertThat(document.customers()).hasSize(4);
+    }
+
+    @Test
+    void jobsNameClassesAndCustomersOfAConfiguration() throws IOException {
+        for (Path file : files("jobs")) {
+            JobSpec spec = Json.readStrict(Files.readAllBytes(file), JobSpec.class);
+            assertThat(List.of("lakeshore.json", "council.json"))
+                    .anySatisfy(
+                            name -> {
+                                byte[] text = Files.readAllBytes(EXAMPLES.resolve(name));
+                                ConfigurationDocument document =
+                                        Json.readStrict(text, ConfigurationDocument.class);
+                                assertThat(document.customer(spec.customer())).isPresent();
+                                assertThat(document.serviceClass(spec.serviceClass())).isPresent();
+                            });
+        }
+    }
+}
