--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
@@ -105,6 +105,11 @@
         return answer;
     }
 
+    /** Closes the connections that no call uses now. */
+    public void closeIdle() {
+        client.connectionPool().evictAll();
+    }
+
     /** Ends all calls and closes all connections. */
     @Override
     public void close() {
@@ -125,7 +130,7 @@
                 byte[] body = response.body() == null ? new byte[0] : response.body().bytes();
                 answer.complete(new HttpAnswer(response.code(), response.headers(), body));
             } catch (IOException e) {
-                answer.completeExceptionally(e);
+                answer.completeExceptionally(new TruncatedAnswerException(e));
             }
         }
     }
