Start gangs in two steps and keep their leases all or none

Ruled out: keepers that stop a gang at the first silent worker (a lost packet would end it); keepers that renew what runs (the walk finds a part that runs on); a keeper's own start clock in place of the lease (the lease bounds it already). Conclusion: a part runs at most ttl + 2 call timeouts after a member died, and one ttl more per keeper paused between decision and renewal.

--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/gang/KeeperAction.java
@@ -0,0 +1,13 @@
+package org.fescueloom.gang;
+
+/** Names what a keeper does with the leases of a gang. */
+public enum KeeperAction {
+    /** Renew the lease of every member. */
+    RENEW,
+    /** Renew none in this round; leases go on until they lapse. */
+    WAIT,
+    /** Release the lease of every member, with a checkpoint where it can be had, then record. */
+    STOP,
+    /** Record the success; keep renewing until the log has it, and only then release. */
+    COMPLETE
+}
--- a/fescueloom-core/src/main/java/org/fescueloom/job/GangResult.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/job/GangResult.java
@@ -6,36 +6,31 @@
 /** Tells how a gang attempt ended and what that means for its job. */
 public enum GangResult {
     /** Every task ended with success; the job is done. */
-    SUCCEEDED(JobState.SUCCEEDED),
+    SUCCEEDED(JobEvent.GANG_SUCCEEDED),
     /** A task ended with a failure; the job waits again unless it failed too often. */
-    FAILED(JobState.WAITING),
+    FAILED(JobEvent.GANG_FAILED),
     /** The gang was stopped to return its accelerators; the job waits again. */
-    PREEMPTED(JobState.WAITING),
+    PREEMPTED(JobEvent.GANG_INTERRUPTED),
     /** A member or its worker was lost; the job waits again. */
-    LOST(JobState.WAITING),
+    LOST(JobEvent.GANG_INTERRUPTED),
     /** The gang was stopped to run elsewhere; the job waits again. */
-    MOVED(JobState.WAITING),
+    MOVED(JobEvent.GANG_INTERRUPTED),
     /** The caller cancelled the job. */
-    CANCELLED(JobState.CANCELLED);
+    CANCELLED(JobEvent.GANG_CANCELLED);
 
-    private final JobState next;
+    private final JobEvent event;
 
-    GangResult(JobState next) {
-        this.next = next;
+    GangResult(JobEvent event) {
+        this.event = event;
     }
 
     /**
-     * Returns the state of a job after its gang ended so.
+     * Returns what this result means for the job.
      *
-     * @param current the state before, not null
-     * @return {@code SUCCEEDED} if the gang succeeded, even when the job was being cancelled;
-     *     {@code CANCELLED} for any other result of a job that was being cancelled; never null
+     * @return the event of the chart {@code job}, never null
      */
-    public JobState stateAfter(JobState current) {
-        if (current == JobState.CANCELLING && next == JobState.WAITING) {
-            return JobState.CANCELLED;
-        }
-        return next;
+    public JobEvent event() {
+        return event;
     }
 
     /**
--- a/fescueloom-core/src/main/java/org/fescueloom/job/Job.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/job/Job.java
@@ -113,7 +113,8 @@
     Job withGang(GangPlaced placed, long offset, long timestampMillis) {
         List<GangAttempt> grown = new ArrayList<>(attempts);
         grown.add(new GangAttempt(placed, null));
-        return changed(JobState.PLACED, grown, resumeMillis, "", offset, timestampMillis);
+        JobState next = state.next(JobEvent.GANG_PLACED).target();
+        return changed(next, grown, resumeMillis, "", offset, timestampMillis);
     }
 
     Job withEnd(GangEnded end, JobState next, String why, long offset, long timestampMillis) {
@@ -125,7 +126,7 @@
     }
 
     Job withCancellation(long offset, long timestampMillis) {
-        JobState next = state.hasGang() ? JobState.CANCELLING : JobState.CANCELLED;
+        JobState next = state.next(JobEvent.CANCEL_REQUESTED).target();
         String why = "cancelled by the caller";
         return changed(next, attempts, resumeMillis, why, offset, timestampMillis);
     }
--- a/fescueloom-core/src/main/java/org/fescueloom/job/JobBook.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/job/JobBook.java
@@ -226,7 +226,7 @@
         if (job.hasAttempt(placed.attempt())) {
             return RecordEffect.REPEATED;
         }
-        if (job.state() != JobState.WAITING) {
+        if (job.state().next(JobEvent.GANG_PLACED).ignored()) {
             return RecordEffect.NOT_WAITING;
         }
         return store(job.withGang(placed, entry.offset(), entry.timestampMillis()));
@@ -241,19 +241,17 @@
         if (current.isEmpty() || !current.get().attempt().equals(ended.attempt())) {
             return RecordEffect.NOT_CURRENT_ATTEMPT;
         }
-        JobState next = ended.result().stateAfter(job.state());
+        JobEvent event = ended.result().event();
         String reason = ended.reason();
-        if (ended.result() == GangResult.SUCCEEDED) {
+        if (event == JobEvent.GANG_SUCCEEDED) {
             failures.recordSuccess(job.id(), current.get().workers());
-        } else if (ended.result() == GangResult.FAILED) {
-            boolean atFault =
-                    failures.recordFailure(
-                            job.id(), ended.workersAtFault(), entry.timestampMillis());
-            if (atFault && next == JobState.WAITING) {
-                next = JobState.FAILED;
-                reason = "failed on different workers or too often; last: " + reason;
-            }
+        } else if (event == JobEvent.GANG_FAILED
+                && failures.recordFailure(
+                        job.id(), ended.workersAtFault(), entry.timestampMillis())) {
+            event = JobEvent.FAILURES_EXHAUSTED;
+            reason = "failed on different workers or too often; last: " + reason;
         }
+        JobState next = job.state().next(event).target();
         if (next.isFinal()) {
             failures.forgetJob(job.id());
         }
@@ -268,7 +266,7 @@
         if (job.state().isFinal()) {
             return RecordEffect.ALREADY_FINISHED;
         }
-        if (job.state() == JobState.CANCELLING) {
+        if (job.state().next(JobEvent.CANCEL_REQUESTED).ignored()) {
             return RecordEffect.REPEATED;
         }
         return store(job.withCancellation(entry.offset(), entry.timestampMillis()));
--- a/fescueloom-core/src/main/java/org/fescueloom/job/JobState.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/job/JobState.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.Locale;
+import org.fescueloom.chart.StateChart;
+import org.fescueloom.chart.Transition;
 
 /** Names the states of a job. */
 public enum JobState {
@@ -18,13 +20,28 @@
     /** Ended by cancellation. */
     CANCELLED;
 
+    private static final class Chart {
+        private static final StateChart<JobState, JobEvent, JobAction> INSTANCE =
+                StateChart.load("job", JobState.class, JobEvent.class, JobAction.class);
+    }
+
+    /**
+     * Returns what an event leads to, by the chart {@code job}.
+     *
+     * @param event the event, not null
+     * @return the next state and what is to be done, never null
+     */
+    public Transition<JobState, JobAction> next(JobEvent event) {
+        return Chart.INSTANCE.next(this, event);
+    }
+
     /**
      * Tells whether the job is over for good.
      *
      * @return whether no later record can change the state
      */
     public boolean isFinal() {
-        return this == SUCCEEDED || this == FAILED || this == CANCELLED;
+        return Chart.INSTANCE.isTerminal(this);
     }
 
     /**
--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/gang/GangWalkTest.java
@@ -0,0 +1,53 @@
+package org.fescueloom.gang;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.Set;
+import org.fescueloom.chart.StateSpaceWalker;
+import org.junit.jupiter.api.Test;
+
+/** Walks every reachable state of a gang of two with one fault at each step. */
+class GangWalkTest {
+    private static final long TICK_MILLIS = 1_000L;
+
+    private static Set<GangWorld> walk(GangWorld.Rules rules, int pauses) {
+        long longestPartial = GangWorld.TERMS.longestPartialMillis(pauses);
+        long retryDelay = GangWorld.TERMS.lostRetryDelayMillis();
+        return StateSpaceWalker.walk(
+                GangWorld.start(rules, pauses),
+                GangWorld::steps,
+                world -> {
+                    assertThat(world.violation()).isNull();
+                    assertThat(world.partialTicks() * TICK_MILLIS)
+                            .isLessThanOrEqualTo(longestPartial);
+                    if (world.endedTicks() * TICK_MILLIS > retryDelay) {
+                        assertThat(world.members()).noneMatch(GangWorld.Member::runs);
+                    }
+                });
+    }
+
+    @Test
+    void noPartRunsLongerThanTheBoundAndNothingRunsAtTheRetry() {
+        assertThat(walk(GangWorld.Rules.ALL, 0)).hasSizeGreaterThan(1_000);
+    }
+
+    @Test
+    void boundGrowsByOneLeaseForAPausedKeeper() {
+        assertThat(walk(GangWorld.Rules.ALL, 1)).hasSizeGreaterThan(1_000);
+    }
+
+    @Test
+    void violationIsFoundWhenTasksStartInOneStep() {
+        assertThatThrownBy(() -> walk(GangWorld.Rules.ONE_STEP_START, 0))
+                .isInstanceOf(AssertionError.class)
+                .hasMessageContaining("started before all leases");
+    }
+
+    @Test
+    void violationIsFoundWhenLeasesAreRenewedOneByOne() {
+        assertThatThrownBy(() -> walk(GangWorld.Rules.RENEW_EACH_FOR_ITSELF, 0))
+                .isInstanceOf(AssertionError.class)
+                .hasMessageContaining("to be less than or equal to");
+    }
+}
