--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangRunner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangRunner.java
@@ -128,8 +128,7 @@
      */
     public CompletableFuture<Boolean> stop(String id, GangResult result, String reason) {
         Optional<Job> job = ledger.job(id);
-        Optional<GangPlaced> gang =
-                job.flatMap(Job::currentAttempt).map(GangAttempt::placed);
+        Optional<GangPlaced> gang = job.flatMap(Job::currentAttempt).map(GangAttempt::placed);
         if (gang.isEmpty() || !busy.add(id)) {
             return CompletableFuture.completedFuture(false);
         }
@@ -159,9 +158,7 @@
             List<String> atFault,
             long checkpointMillis) {
         CompletableFuture<Long> saved =
-                checkpointable
-                        ? stopper.checkpoint(gang)
-                        : CompletableFuture.completedFuture(0L);
+                checkpointable ? stopper.checkpoint(gang) : CompletableFuture.completedFuture(0L);
         return saved.thenCompose(
                 millis ->
                         releaseAndRecord(
@@ -205,8 +202,7 @@
             long checkpointMillis) {
         return stopper.release(gang)
                 .thenCompose(GangRunner::waitForLapse)
-                .thenCompose(
-                        gone -> recordEnd(gang, result, reason, atFault, checkpointMillis));
+                .thenCompose(gone -> recordEnd(gang, result, reason, atFault, checkpointMillis));
     }
 
     private static CompletableFuture<Void> waitForLapse(boolean released) {
@@ -285,10 +281,7 @@
     }
 
     private Optional<GangPlaced> placement(
-            Job job,
-            StartGang start,
-            long epoch,
-            Function<String, Optional<String>> addresses) {
+            Job job, StartGang start, long epoch, Function<String, Optional<String>> addresses) {
         String attempt = start.job() + "." + epoch + "." + sequence.incrementAndGet();
         List<GangMember> members = new ArrayList<>();
         for (TaskPlacement task : start.members()) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStarter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStarter.java
@@ -22,8 +22,8 @@
  * Starts a gang in two steps: leases on all members, then the tasks.
  *
  * <p>Between the steps the placement is recorded in the log; only a placement that counts there is
- * started. Until the second step no task runs, and the leases lapse within {@link
- * #START_LEASE}, so a planner that dies or is paused between the steps starts nothing.
+ * started. Until the second step no task runs, and the leases lapse within {@link #START_LEASE}, so
+ * a planner that dies or is paused between the steps starts nothing.
  */
 public final class GangStarter {
     /** The lease of a member that is granted but not started. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobCluster.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobCluster.java
@@ -37,7 +37,7 @@
                                 .filter(e -> e.state() == MemberState.ALIVE)
                                 .map(Member::id)
                                 .toList());
-        if (!live.contains(cluster.member()) && !cluster.draining()) {
+        if (!live.contains(cluster.member())) {
             live.add(cluster.member());
         }
         live.sort(null);
@@ -86,8 +86,8 @@
      * Passes if work may start on a worker now.
      *
      * @param worker the identifier, not null
-     * @throws SchedulerException with type {@code ZONE_OUT}, {@code
-     *     ZONE_VIEW_STALE} or {@code WORKER_UNREACHABLE} if not
+     * @throws SchedulerException with type {@code ZONE_OUT}, {@code ZONE_VIEW_STALE} or {@code
+     *     WORKER_UNREACHABLE} if not
      */
     public void requireStart(String worker) {
         Member member =
@@ -95,8 +95,7 @@
                         .orElseThrow(
                                 () ->
                                         new SchedulerException(
-                                                FailureType
-                                                        .WORKER_UNREACHABLE,
+                                                FailureType.WORKER_UNREACHABLE,
                                                 "worker " + worker + " is not known"));
         cluster.zoneGate().check(member.announcement().zone(), Clocks.monotonicMillis());
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobReports.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobReports.java
@@ -99,11 +99,7 @@
         String detail =
                 "attempt %s by planner epoch %d: %d tasks on %s, %s accelerators"
                         .formatted(
-                                gang.attempt(),
-                                gang.epoch(),
-                                gang.members().size(),
-                                workers,
-                                use);
+                                gang.attempt(), gang.epoch(), gang.members().size(), workers, use);
         return new ExplanationStep(gang.placedAtMillis(), "placed", detail);
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobRoutes.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobRoutes.java
@@ -85,8 +85,7 @@
         validate(spec);
         JobAccepted accepted = new JobAccepted(id, spec, System.currentTimeMillis());
         String recordId = "job-" + id + "-" + Integer.toHexString(spec.hashCode()) + "-accepted";
-        return log.append(recordId, accepted)
-                .thenCompose(effect -> accepted(id, spec, effect));
+        return log.append(recordId, accepted).thenCompose(effect -> accepted(id, spec, effect));
     }
 
     private CompletableFuture<HttpReply> accepted(String id, JobSpec spec, RecordEffect effect) {
@@ -129,10 +128,7 @@
                 book ->
                         cluster.workers().stream()
                                 .filter(w -> w.announcement().worker() != null)
-                                .map(
-                                        w ->
-                                                PlanInputBuilder.view(
-                                                        w, document, book.failures(), now))
+                                .map(w -> PlanInputBuilder.view(w, document, book.failures(), now))
                                 .toList());
     }
 
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
@@ -0,0 +1,237 @@
+package org.fescueloom.daemon.jobs;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import org.fescueloom.daemon.Daemon;
+import org.fescueloom.daemon.Service;
+import org.fescueloom.daemon.cluster.Clocks;
+import org.fescueloom.daemon.cluster.Cluster;
+import org.fescueloom.daemon.cluster.StreamFollower;
+import org.fescueloom.daemon.cluster.StreamListener;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.gang.LeaseTerms;
+import org.fescueloom.job.EpochBook;
+import org.fescueloom.job.EpochClaim;
+import org.fescueloom.job.GangMember;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.Job;
+import org.fescueloom.job.JobRecords;
+import org.fescueloom.member.Member;
+import org.fescueloom.placement.PlacementPolicy;
+import org.fescueloom.placement.RunTimeEstimates;
+import org.fescueloom.placement.WorkerCondition;
+
+/** Puts together the job path of one process: keepers everywhere, routes and planner on entries. */
+public final class JobSystem implements Service {
+    private static final PlacementPolicy POLICY = PlacementPolicy.BUDDY_COMPACTION;
+
+    private final JobLedger ledger = new JobLedger();
+    private final EpochBook epochs = new EpochBook();
+    private final PlanBoard board = new PlanBoard();
+    private final JobReports reports = new JobReports(board);
+    private final WorkerClient workers = new WorkerClient();
+    private final JobView view = new JobView();
+    private final Cluster cluster;
+    private final JobCluster jobCluster;
+    private final Metrics metrics;
+    private final JobLog jobLog;
+    private final GangRunner runner;
+    private final StreamFollower<JobLedger> jobFollower;
+
+    /**
+     * Creates the job path of one process.
+     *
+     * @param cluster the cluster, not null
+     * @param metrics counts what happens, not null
+     */
+    public JobSystem(Cluster cluster, Metrics metrics) {
+        this.cluster = Objects.requireNonNull(cluster, "cluster");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        jobCluster = new JobCluster(cluster);
+        jobLog = new JobLog(cluster.log(), ledger);
+        GangStopper stopper = new GangStopper(workers);
+        GangStarter starter =
+                new GangStarter(
+                        workers,
+                        stopper,
+                        gang -> jobLog.append(gang.attempt() + "-placed", gang),
+                        this::checkZones);
+        runner =
+                new GangRunner(
+                        starter, stopper, jobLog, ledger, metrics, System::currentTimeMillis);
+        jobFollower =
+                cluster.follow(JobRecords.STREAM, () -> ledger, StreamFollower.ALL_RECORDS, view);
+    }
+
+    /**
+     * Adds the services of an entry to a daemon.
+     *
+     * @param daemon the daemon, not null
+     */
+    public void installEntry(Daemon daemon) {
+        PlannerElection election =
+                new PlannerElection(
+                        cluster.member(), cluster.incarnation(), epochs, jobCluster::liveEntries);
+        PlannerService planner =
+                new PlannerService(
+                        jobCluster,
+                        election,
+                        ledger,
+                        jobLog,
+                        cluster.log(),
+                        runner,
+                        new PlanInputBuilder(new RunTimeEstimates()),
+                        POLICY.planner(),
+                        board,
+                        metrics);
+        PlannerDirectory planners = new PlannerDirectory(planner::isPlanning, this::plannerAddress);
+        StreamFollower<EpochBook> epochFollower =
+                cluster.follow(
+                        EpochClaim.STREAM,
+                        () -> epochs,
+                        StreamFollower.ALL_RECORDS,
+                        new StreamListener<EpochBook>() {});
+        daemon.add(new FollowerService(epochFollower));
+        daemon.add(new JobRoutes(jobCluster, ledger, jobLog, reports, planners, metrics));
+        installKeeper(daemon, gang -> true);
+        daemon.add(planner);
+    }
+
+    /**
+     * Adds the services of an agent to a daemon.
+     *
+     * @param daemon the daemon, not null
+     */
+    public void installAgent(Daemon daemon) {
+        installKeeper(daemon, gang -> true);
+    }
+
+    /**
+     * Finds a job and explains it.
+     *
+     * @param id the identifier, not null
+     * @return the explanation, or empty if no job of this name is known
+     */
+    public Optional<Object> explain(String id) {
+        return ledger.job(id).map(reports::explain);
+    }
+
+    /**
+     * Names the process that plans.
+     *
+     * @return the identifier of the entry that holds the claim, or empty before the first claim
+     */
+    public Optional<String> planner() {
+        return epochs.claim().map(EpochClaim::entry);
+    }
+
+    /**
+     * Counts the jobs in each state.
+     *
+     * @return the counts by the text of the state, never null
+     */
+    public Map<String, Integer> jobCounts() {
+        Map<String, Integer> counts = new LinkedHashMap<>();
+        for (Job job : ledger.jobs(j -> true)) {
+            counts.merge(job.state().text(), 1, Integer::sum);
+        }
+        return counts;
+    }
+
+    /**
+     * Tells whether a worker can take tasks.
+     *
+     * @param worker the worker, not null
+     * @return the condition, never null
+     */
+    public WorkerCondition condition(Member worker) {
+        long now = System.currentTimeMillis();
+        return ledger.read(
+                book ->
+                        PlanInputBuilder.view(worker, jobCluster.document(), book.failures(), now)
+                                .condition());
+    }
+
+    /**
+     * Returns the jobs of this process.
+     *
+     * @return the ledger, never null
+     */
+    public JobLedger ledger() {
+        return ledger;
+    }
+
+    /**
+     * Returns what the last plan of this process said.
+     *
+     * @return the board, never null
+     */
+    public PlanBoard board() {
+        return board;
+    }
+
+    private void installKeeper(Daemon daemon, Predicate<GangPlaced> selection) {
+        daemon.add(new FollowerService(jobFollower));
+        daemon.add(
+                new KeeperService(ledger, workers, runner, selection, this::isViewValid, metrics));
+    }
+
+    private Optional<String> plannerAddress() {
+        return planner().flatMap(jobCluster::address);
+    }
+
+    private boolean isViewValid() {
+        long now = Clocks.monotonicMillis();
+        boolean fresh = view.ageMillis(now) < LeaseTerms.DEFAULT.viewAgeMillis();
+        return fresh || cluster.view().outageAgeMillis(now) < LeaseTerms.DEFAULT.viewAgeMillis();
+    }
+
+    private CompletableFuture<Void> checkZones(GangPlaced gang) {
+        List<String> names = gang.members().stream().map(GangMember::worker).distinct().toList();
+        try {
+            names.forEach(jobCluster::requireStart);
+            return CompletableFuture.completedFuture(null);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        workers.close();
+    }
+
+    /** Remembers how recent the view of the {@code jobs} stream is. */
+    private static final class JobView implements StreamListener<JobLedger> {
+        private volatile long readAtMillis = Long.MIN_VALUE;
+
+        @Override
+        public void onRead(JobLedger fold, boolean caughtUp, long sentAtMillis) {
+            if (caughtUp) {
+                readAtMillis = sentAtMillis;
+            }
+        }
+
+        long ageMillis(long nowMillis) {
+            return readAtMillis == Long.MIN_VALUE ? Long.MAX_VALUE : nowMillis - readAtMillis;
+        }
+    }
+
+    /** Runs a follower as long as the daemon. */
+    private record FollowerService(StreamFollower<?> follower) implements Service {
+        @Override
+        public void start(String address) {
+            follower.start();
+        }
+
+        @Override
+        public void close() {
+            follower.close();
+        }
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperService.java
@@ -191,8 +191,7 @@
 
     private static void addRenewals(GangPlaced gang, Map<String, List<String>> renewals) {
         for (GangMember member : gang.members()) {
-            renewals.computeIfAbsent(member.address(), a -> new ArrayList<>())
-                    .add(member.lease());
+            renewals.computeIfAbsent(member.address(), a -> new ArrayList<>()).add(member.lease());
         }
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlanInputBuilder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlanInputBuilder.java
@@ -89,10 +89,7 @@
      * @return the view, never null
      */
     public static WorkerView view(
-            Member member,
-            ConfigurationDocument document,
-            FailureLedger failures,
-            long nowMillis) {
+            Member member, ConfigurationDocument document, FailureLedger failures, long nowMillis) {
         WorkerCapacity capacity = member.announcement().worker();
         return new WorkerView(
                 member.id(),
@@ -106,10 +103,7 @@
     }
 
     private static WorkerCondition condition(
-            Member member,
-            ConfigurationDocument document,
-            FailureLedger failures,
-            long nowMillis) {
+            Member member, ConfigurationDocument document, FailureLedger failures, long nowMillis) {
         boolean zoneIn =
                 document.zone(member.announcement().zone())
                         .filter(z -> z.state() == ZoneState.IN)
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlannerService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlannerService.java
@@ -146,7 +146,8 @@
     }
 
     private void claimIfVacant() {
-        if (!election.shouldClaim(Clocks.monotonicMillis()) || !claiming.compareAndSet(false, true)) {
+        if (!election.shouldClaim(Clocks.monotonicMillis())
+                || !claiming.compareAndSet(false, true)) {
             return;
         }
         EpochClaim claim = election.claim(System.currentTimeMillis());
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/WorkerClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/WorkerClient.java
@@ -26,7 +26,7 @@
  */
 public final class WorkerClient implements AutoCloseable {
     /** The longest time that a call waits for its answer. */
-    public static final Duration CALL_TIMEOUT = 
+    public static final Duration CALL_TIMEOUT =
             Duration.ofMillis(LeaseTerms.DEFAULT.callTimeoutMillis());
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
