Let a repeat of a request meet the first run

Cause: the same Request-Id through another entry would have run a second time. Ruled out: a claim in the log for each request: appends are scarce and work must go on while the log is down. Replacing a run by its name: its owner may have recorded another attempt meanwhile, so a replacement names the attempt that did not run. Change: claims at the three agents that a rendezvous hash names, two must grant; the claim names the attempt, so a repeat resolves it at its agent even when the first entry is gone.

--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/ClaimRegistry.java
@@ -0,0 +1,103 @@
+package org.fescueloom.request;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.wire.ClaimReply;
+import org.fescueloom.wire.RequestClaim;
+
+/**
+ * Remembers for one agent which run first claimed the identifier of a request.
+ *
+ * <p>The first run keeps the identifier; another one gets it only by naming the attempt of the
+ * first that did not run, and only as long as the first has not recorded another attempt. Claims
+ * are forgotten after a retention time. When the registry is full of younger claims, new ones are
+ * refused rather than old ones forgotten.
+ *
+ * <p>Not safe for use by several threads at once.
+ */
+public final class ClaimRegistry {
+    private final long retentionNanos;
+    private final int capacity;
+    private final Map<String, Held> claims = new LinkedHashMap<>();
+
+    private record Held(RequestClaim claim, long atNanos) {}
+
+    /**
+     * Creates an empty registry.
+     *
+     * @param retentionNanos how long a claim is remembered, in nanoseconds; positive
+     * @param capacity how many claims are remembered; positive
+     * @throws IllegalArgumentException if a bound is not positive
+     */
+    public ClaimRegistry(long retentionNanos, int capacity) {
+        if (retentionNanos <= 0 || capacity <= 0) {
+            throw new IllegalArgumentException("the bounds of a registry must be positive");
+        }
+        this.retentionNanos = retentionNanos;
+        this.capacity = capacity;
+    }
+
+    /**
+     * Records a claim unless another run has the identifier.
+     *
+     * @param claim the claim, not null; a claim of the same run replaces its former one
+     * @param nowNanos the time
+     * @return whether it was granted, and the claim that holds now, never null
+     * @throws SchedulerException with type {@code CLAIM_UNAVAILABLE} if there is no room
+     */
+    public ClaimReply claim(RequestClaim claim, long nowNanos) {
+        Objects.requireNonNull(claim, "claim");
+        expire(nowNanos);
+        Held held = claims.get(claim.request());
+        if (held != null && !mayReplace(claim, held.claim())) {
+            return new ClaimReply(false, held.claim());
+        }
+        if (held == null && claims.size() >= capacity) {
+            throw new SchedulerException(
+                    FailureType.CLAIM_UNAVAILABLE, "no room for another claim", 1_000);
+        }
+        claims.remove(claim.request());
+        claims.put(claim.request(), new Held(claim, nowNanos));
+        return new ClaimReply(true, claim);
+    }
+
+    /**
+     * Removes the claim of a run that never sent an attempt.
+     *
+     * @param request the identifier of the request, not null
+     * @param run the identifier of the run, not null
+     * @return false if the run does not have the identifier
+     */
+    public boolean withdraw(String request, String run) {
+        Held held = claims.get(request);
+        if (held == null || !held.claim().run().equals(run)) {
+            return false;
+        }
+        claims.remove(request);
+        return true;
+    }
+
+    /**
+     * Returns how many claims are remembered.
+     *
+     * @return the number, not negative
+     */
+    public int size() {
+        return claims.size();
+    }
+
+    private static boolean mayReplace(RequestClaim claim, RequestClaim held) {
+        return held.run().equals(claim.run())
+                || held.attempt().equals(claim.replaces()) && held.digest().equals(claim.digest());
+    }
+
+    private void expire(long nowNanos) {
+        var oldest = claims.values().iterator();
+        while (oldest.hasNext() && nowNanos - oldest.next().atNanos() > retentionNanos) {
+            oldest.remove();
+        }
+    }
+}
--- a/fescueloom-core/src/main/java/org/fescueloom/request/RequestEvent.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/RequestEvent.java
@@ -4,9 +4,9 @@
 public enum RequestEvent {
     /** The request passed its checks. */
     ACCEPTED,
-    /** The request passed its checks and its identifier must be recorded first. */
+    /** An attempt is to be made, and the identifier must be recorded with it first. */
     CLAIM_NEEDED,
-    /** The request failed its checks. */
+    /** The request failed its checks, or its identifier was used with another body. */
     REFUSED,
     /** The identifier is recorded for this run. */
     CLAIMED,
@@ -26,8 +26,6 @@
     REPEATABLE,
     /** The connection broke or fell silent. */
     LOST,
-    /** The agent says that the attempt still runs. */
-    RUNNING,
     /** Nobody can tell whether the attempt ran, and it must not be repeated. */
     UNKNOWN,
     /** Another attempt is made. */
--- a/fescueloom-core/src/main/java/org/fescueloom/request/RequestProgress.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/RequestProgress.java
@@ -18,6 +18,7 @@
             StateChart.load("request", RequestState.class, RequestEvent.class, RequestAction.class);
 
     private final boolean idempotent;
+    private final boolean claimed;
     private RequestState state = CHART.initial();
     private Outcome worst = Outcome.NOT_RUN;
     private int attempts;
@@ -26,19 +27,20 @@
      * Creates a request that has just arrived.
      *
      * @param idempotent whether the request may run more than once
+     * @param claimed whether the identifier must be recorded before each attempt
      */
-    public RequestProgress(boolean idempotent) {
+    public RequestProgress(boolean idempotent, boolean claimed) {
         this.idempotent = idempotent;
+        this.claimed = claimed;
     }
 
     /**
-     * Takes the result of the checks.
+     * Takes the success of the checks.
      *
-     * @param claimNeeded whether the identifier must be recorded before the first attempt
      * @return what to do next, never null
      */
-    public Optional<RequestAction> accepted(boolean claimNeeded) {
-        return on(claimNeeded ? RequestEvent.CLAIM_NEEDED : RequestEvent.ACCEPTED);
+    public Optional<RequestAction> accepted() {
+        return on(claimed ? RequestEvent.CLAIM_NEEDED : RequestEvent.ACCEPTED);
     }
 
     /**
@@ -68,7 +70,7 @@
      */
     public Optional<RequestAction> retryDecided(boolean allowed) {
         if (allowed) {
-            return on(RequestEvent.RETRY_ALLOWED);
+            return on(claimed ? RequestEvent.CLAIM_NEEDED : RequestEvent.RETRY_ALLOWED);
         }
         return on(
                 switch (worst) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AgentService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AgentService.java
@@ -20,10 +20,13 @@
 import org.fescueloom.request.AttemptAnswer;
 import org.fescueloom.request.AttemptId;
 import org.fescueloom.request.AttemptResolution;
+import org.fescueloom.request.ClaimRegistry;
 import org.fescueloom.wire.AgentStatus;
 import org.fescueloom.wire.AttemptState;
+import org.fescueloom.wire.ClaimReply;
 import org.fescueloom.wire.Headers;
 import org.fescueloom.wire.Occupancy;
+import org.fescueloom.wire.RequestClaim;
 import org.fescueloom.wire.UpstreamRegistration;
 import org.tinylog.Logger;
 
@@ -33,12 +36,15 @@
     private static final long SWEEP_MILLIS = 20;
     private static final long MAX_RESOLVE_WAIT_MILLIS = 10_000;
     private static final long RUNNING_GRACE_NANOS = 60_000_000_000L;
+    private static final long CLAIM_RETENTION_NANOS = 300_000_000_000L;
+    private static final int MAX_CLAIMS = 40_000;
     private static final long DRAIN_POLL_MILLIS = 20;
     private static final long DRAIN_LINGER_MILLIS = 500;
     private static final String DEFAULT_CONTENT_TYPE = "application/octet-stream";
 
     private final long incarnation;
     private final AttemptScheduler scheduler;
+    private final ClaimRegistry claims = new ClaimRegistry(CLAIM_RETENTION_NANOS, MAX_CLAIMS);
     private final Metrics metrics;
     private final Runnable onLeavingChange;
     private final UpstreamClient upstreamClient = new UpstreamClient(MAX_UPSTREAM_CALLS);
@@ -95,6 +101,8 @@
         server.route("POST", "/internal/attempts/{attempt}", this::attempt);
         server.route("POST", "/internal/attempts/{attempt}/resolve", this::resolve);
         server.route("POST", "/internal/attempts/{attempt}/cancel", this::cancel);
+        server.route("PUT", "/internal/claims/{request}", this::claim);
+        server.route("DELETE", "/internal/claims/{request}", this::withdrawClaim);
     }
 
     @Override
@@ -179,6 +187,25 @@
         return CompletableFuture.completedFuture(resolveNow(id, false));
     }
 
+    private CompletableFuture<HttpReply> claim(HttpCall call) {
+        RequestClaim claim = call.read(RequestClaim.class);
+        ClaimReply reply;
+        synchronized (claims) {
+            reply = claims.claim(claim, System.nanoTime());
+        }
+        metrics.count(reply.granted() ? "claims.granted" : "claims.taken");
+        return CompletableFuture.completedFuture(HttpReply.json(reply));
+    }
+
+    private CompletableFuture<HttpReply> withdrawClaim(HttpCall call) {
+        String run = call.query("run").orElse("");
+        boolean removed;
+        synchronized (claims) {
+            removed = claims.withdraw(call.path("request"), run);
+        }
+        return CompletableFuture.completedFuture(HttpReply.json(Map.of("removed", removed)));
+    }
+
     private HttpReply resolveNow(AttemptId id, boolean keepQueued) {
         AttemptScheduler.Work work = AttemptScheduler.Work.none();
         AttemptResolution resolution = scheduler.resolve(id, keepQueued, work);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/AttemptClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/AttemptClient.java
@@ -17,7 +17,6 @@
 import org.fescueloom.request.AttemptAnswer;
 import org.fescueloom.request.AttemptId;
 import org.fescueloom.wire.AgentStatus;
-import org.fescueloom.wire.Announcement;
 import org.fescueloom.wire.AttemptState;
 import org.fescueloom.wire.Headers;
 import org.fescueloom.wire.Occupancy;
@@ -35,7 +34,7 @@
 
     private final HttpClient attempts;
     private final HttpClient fresh;
-    private final BiConsumer<Announcement, AgentStatus> onOccupancy;
+    private final BiConsumer<AgentTarget, AgentStatus> onOccupancy;
 
     /**
      * Creates a client.
@@ -45,7 +44,7 @@
      * @param onOccupancy takes what agents say of their upstreams, not null
      */
     AttemptClient(
-            int maxAttempts, int maxQuestions, BiConsumer<Announcement, AgentStatus> onOccupancy) {
+            int maxAttempts, int maxQuestions, BiConsumer<AgentTarget, AgentStatus> onOccupancy) {
         this.attempts = new HttpClient(maxAttempts, CONNECT_TIMEOUT);
         this.fresh = new HttpClient(maxQuestions, CONNECT_TIMEOUT, 0);
         this.onOccupancy = onOccupancy;
@@ -65,11 +64,7 @@
      * @return the call and a future of its report, which never fails
      */
     Sent send(
-            AttemptId id,
-            RequestInput input,
-            Announcement agent,
-            long leftNanos,
-            Duration timeout) {
+            AttemptId id, RequestInput input, AgentTarget agent, long leftNanos, Duration timeout) {
         Request request =
                 attempt(id, agent, "")
                         .header(Headers.REQUEST_ID, input.id())
@@ -95,7 +90,7 @@
      * @return a future of the report, which never fails
      */
     CompletableFuture<AttemptReport> resolve(
-            AttemptId id, Announcement agent, long waitMillis, Duration timeout) {
+            AttemptId id, AgentTarget agent, long waitMillis, Duration timeout) {
         String path = "/resolve?queued=keep&waitMillis=" + waitMillis;
         Request request = attempt(id, agent, path).post(EMPTY).build();
         return fresh.send(request, timeout)
@@ -108,7 +103,7 @@
      * @param id the attempt, not null
      * @param agent the agent, not null
      */
-    void cancel(AttemptId id, Announcement agent) {
+    void cancel(AttemptId id, AgentTarget agent) {
         fresh.send(attempt(id, agent, "/cancel").post(EMPTY).build(), CONNECT_TIMEOUT);
     }
 
@@ -124,14 +119,14 @@
         fresh.close();
     }
 
-    private static Request.Builder attempt(AttemptId id, Announcement agent, String rest) {
+    private static Request.Builder attempt(AttemptId id, AgentTarget agent, String rest) {
         return new Request.Builder()
                 .url("http://" + agent.address() + "/internal/attempts/" + id + rest)
                 .header(Headers.AGENT_INCARNATION, Long.toString(agent.incarnation()));
     }
 
     private AttemptReport sent(
-            AttemptId id, Announcement agent, HttpAnswer answer, Throwable error) {
+            AttemptId id, AgentTarget agent, HttpAnswer answer, Throwable error) {
         if (error != null) {
             Throwable cause = error instanceof CompletionException ? error.getCause() : error;
             return cause instanceof ConnectException
@@ -151,7 +146,7 @@
     }
 
     private AttemptReport resolved(
-            AttemptId id, Announcement agent, HttpAnswer answer, Throwable error) {
+            AttemptId id, AgentTarget agent, HttpAnswer answer, Throwable error) {
         if (error != null) {
             Throwable cause = error instanceof CompletionException ? error.getCause() : error;
             return cause instanceof ConnectException
@@ -201,11 +196,9 @@
         }
     }
 
-    private void noteOccupancy(Announcement agent, HttpAnswer answer) {
+    private void noteOccupancy(AgentTarget agent, HttpAnswer answer) {
         Optional<String> text = answer.header(Headers.AGENT_OCCUPANCY);
-        if (text.isPresent() && agent.agent() != null) {
-            Occupancy.parse(agent.agent().upstream(), text.get())
-                    .ifPresent(status -> onOccupancy.accept(agent, status));
-        }
+        text.flatMap(value -> Occupancy.parse(agent.upstream(), value))
+                .ifPresent(status -> onOccupancy.accept(agent, status));
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestContext.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestContext.java
@@ -14,6 +14,7 @@
  * @param sequence the number of the next attempt, not null
  * @param pool the upstreams, not null
  * @param client sends attempts, not null
+ * @param claims records identifiers, not null
  * @param timer runs tasks later; they must not block, not null
  * @param metrics takes the counts, not null
  */
@@ -23,6 +24,7 @@
         AtomicLong sequence,
         UpstreamPool pool,
         AttemptClient client,
+        ClaimClient claims,
         ScheduledExecutorService timer,
         Metrics metrics) {
     /** Checks that no component is null. */
@@ -31,6 +33,7 @@
         Objects.requireNonNull(sequence, "sequence");
         Objects.requireNonNull(pool, "pool");
         Objects.requireNonNull(client, "client");
+        Objects.requireNonNull(claims, "claims");
         Objects.requireNonNull(timer, "timer");
         Objects.requireNonNull(metrics, "metrics");
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestInput.java
@@ -1,7 +1,12 @@
 package org.fescueloom.daemon.entry;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Base64;
 import java.util.UUID;
 import java.util.regex.Pattern;
+import okhttp3.MediaType;
 import org.fescueloom.config.ConfigurationDocument;
 import org.fescueloom.config.ServiceClass;
 import org.fescueloom.daemon.http.HttpCall;
@@ -19,6 +24,7 @@
  * @param idempotent whether the request may run more than once
  * @param deadlineNanos the time by which the answer must be there
  * @param contentType the content type of the body, not null
+ * @param digest a digest of class, customer, kind and body, not null
  * @param body the body, not null
  */
 record RequestInput(
@@ -29,6 +35,7 @@
         boolean idempotent,
         long deadlineNanos,
         String contentType,
+        String digest,
         byte[] body) {
     private static final Pattern ID = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
     private static final String DEFAULT_CONTENT_TYPE = "application/octet-stream";
@@ -71,10 +78,41 @@
                 serviceClass,
                 idempotent,
                 nowNanos + millis * 1_000_000L,
-                call.header("Content-Type").orElse(DEFAULT_CONTENT_TYPE),
+                readContentType(call),
+                digest(serviceClass.name(), customer, idempotent, body),
                 body);
     }
 
+    /**
+     * Tells whether the caller may repeat a request that must not run twice.
+     *
+     * @return true if the identifier must be recorded before each attempt
+     */
+    boolean needsClaim() {
+        return idFromCaller && !idempotent;
+    }
+
+    private static String readContentType(HttpCall call) {
+        String text = call.header("Content-Type").orElse(DEFAULT_CONTENT_TYPE);
+        if (MediaType.parse(text) == null) {
+            throw new SchedulerException(
+                    FailureType.MALFORMED_INPUT, "Content-Type cannot be read: " + text);
+        }
+        return text;
+    }
+
+    private static String digest(
+            String serviceClass, String customer, boolean idempotent, byte[] body) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            String head = serviceClass + "\n" + customer + "\n" + idempotent + "\n";
+            digest.update(head.getBytes(StandardCharsets.UTF_8));
+            return Base64.getUrlEncoder().withoutPadding().encodeToString(digest.digest(body));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("SHA-256 is part of every Java platform", e);
+        }
+    }
+
     private static ServiceClass readClass(HttpCall call, ConfigurationDocument config) {
         String name = call.path("class");
         return config.serviceClass(name)
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestJournal.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestJournal.java
@@ -3,6 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
 
 /** Keeps the recent requests of this entry, so that their way can be explained. */
 final class RequestJournal {
@@ -34,6 +36,21 @@
         trails.put(trail.request(), trail);
     }
 
+    /**
+     * Checks that the identifier of a request was not used here for another request.
+     *
+     * @param input the request, not null
+     * @throws SchedulerException with type {@code IDENTIFIER_REUSED} if it was
+     */
+    synchronized void requireSameRequest(RequestInput input) {
+        RequestTrail known = trails.get(input.id());
+        if (known != null && !known.digest().equals(input.digest())) {
+            throw new SchedulerException(
+                    FailureType.IDENTIFIER_REUSED,
+                    "the identifier " + input.id() + " was used for another request");
+        }
+    }
+
     /**
      * Finds a request.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.fescueloom.failure.FailureType;
@@ -16,6 +17,8 @@
 import org.fescueloom.request.RequestAction;
 import org.fescueloom.request.RequestEvent;
 import org.fescueloom.request.RequestProgress;
+import org.fescueloom.request.RequestState;
+import org.fescueloom.wire.RequestClaim;
 
 /**
  * Brings one request from its admission to its final result.
@@ -27,23 +30,26 @@
 final class RequestRun {
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_SILENT_QUESTIONS = 2;
-    private static final int MAX_REFUSED_QUESTIONS = 2;
     private static final long LATE_GRACE_NANOS = 30_000_000_000L;
     private static final long SHORTEST_PROBE_NANOS = 100_000_000L;
     private static final long LONGEST_PROBE_NANOS = 1_000_000_000L;
-    private static final long QUESTION_PAUSE_NANOS = 100_000_000L;
-    private static final Duration QUESTION_TIMEOUT = Duration.ofMillis(1_000);
-    private static final long RESOLVE_WAIT_MILLIS = 500;
+    private static final long PROBE_PAUSE_NANOS = 100_000_000L;
+    private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
 
     private final RequestInput input;
     private final RequestContext context;
     private final RequestTrail trail;
     private final RequestProgress progress;
+    private final String runId = UUID.randomUUID().toString();
     private final CompletableFuture<RequestResult> result = new CompletableFuture<>();
     private final Set<String> tried = new HashSet<>();
     private Attempt current;
+    private RequestClaim claim;
+    private RequestClaim firstRun;
     private SchedulerException lastFailure;
     private AttemptAnswer answer;
+    private String servedBy;
 
     /**
      * Creates a run that has not started.
@@ -56,23 +62,30 @@
         this.input = Objects.requireNonNull(input, "input");
         this.context = Objects.requireNonNull(context, "context");
         this.trail = Objects.requireNonNull(trail, "trail");
-        this.progress = new RequestProgress(input.idempotent());
+        this.progress = new RequestProgress(input.idempotent(), input.needsClaim());
     }
 
-    /** Is the attempt that is under way. */
+    /** Is an attempt that was chosen, and sent unless {@code sent} is null. */
     private static final class Attempt {
         private final AttemptId id;
         private final UpstreamPool.Chosen chosen;
         private AttemptClient.Sent sent;
         private long probeNanos;
         private int silent;
-        private int refused;
         private boolean over;
 
         private Attempt(AttemptId id, UpstreamPool.Chosen chosen) {
             this.id = id;
             this.chosen = chosen;
         }
+
+        private AgentTarget agent() {
+            return chosen.agent();
+        }
+    }
+
+    private interface Step {
+        Optional<RequestAction> take();
     }
 
     /**
@@ -90,28 +103,21 @@
      * @return a future of the result, which never fails
      */
     CompletableFuture<RequestResult> start() {
-        trail.add(RequestStepKind.ACCEPTED, null, null, null, null);
-        step(() -> progress.accepted(false));
+        step(progress::accepted);
         return result;
     }
 
-    /** Gives up the attempt that is under way, because the caller went away. */
+    /** Tells the agent that nobody waits for the attempt that is under way. */
     void callerGone() {
-        Attempt attempt;
-        synchronized (this) {
-            attempt = current;
-        }
-        trail.add(RequestStepKind.CALLER_GONE, null, null, null, null);
+        trail.add(RequestStepKind.CALLER_GONE, "the caller closed its connection");
         context.metrics().count("requests.caller-gone");
-        if (attempt != null && !attempt.over) {
-            context.client().cancel(attempt.id, attempt.chosen.agent());
+        synchronized (this) {
+            if (current != null && current.sent != null && !current.over) {
+                context.client().cancel(current.id, current.agent());
+            }
         }
     }
 
-    private interface Step {
-        Optional<RequestAction> take();
-    }
-
     private void step(Step step) {
         synchronized (this) {
             if (progress.isOver()) {
@@ -122,75 +128,153 @@
                 action = perform(action.get());
             }
             trail.setState(progress.state());
+            if (!progress.isOver()) {
+                return;
+            }
         }
-        if (progress.isOver()) {
-            result.complete(finalResult());
-        }
+        result.complete(finalResult());
     }
 
     private Optional<RequestAction> perform(RequestAction action) {
         return switch (action) {
+            case CLAIM_IDENTIFIER -> claimIdentifier(null);
+            case JOIN_FIRST_RUN -> joinFirstRun();
             case SEND_ATTEMPT -> sendAttempt();
             case RESOLVE_ATTEMPT -> resolveAttempt();
             case CONSIDER_RETRY -> considerRetry();
             case REPORT -> Optional.empty();
-            case CLAIM_IDENTIFIER, JOIN_FIRST_RUN -> throw new IllegalStateException("no claims");
         };
     }
 
-    private Optional<RequestAction> sendAttempt() {
+    private boolean chooseAttempt() {
         Optional<UpstreamPool.Chosen> chosen = context.pool().choose(tried);
         if (chosen.isEmpty()) {
             if (lastFailure == null) {
+                lastFailure = failure(FailureType.NO_UPSTREAM, "no upstream takes work now");
+            }
+            return false;
+        }
+        current = new Attempt(context.nextAttempt(), chosen.get());
+        tried.add(current.chosen.upstream());
+        return true;
+    }
+
+    private Optional<RequestAction> claimIdentifier(String replaces) {
+        if (!chooseAttempt()) {
+            return progress.on(replaces == null ? RequestEvent.CLAIM_FAILED : RequestEvent.NOT_RUN);
+        }
+        Attempt attempt = current;
+        claim =
+                new RequestClaim(
+                        input.id(),
+                        runId,
+                        input.digest(),
+                        attempt.id.toString(),
+                        attempt.chosen.upstream(),
+                        attempt.agent().address(),
+                        attempt.agent().incarnation(),
+                        replaces);
+        context.claims().claim(claim).thenAccept(r -> step(() -> onClaim(attempt, r)));
+        return Optional.empty();
+    }
+
+    private Optional<RequestAction> onClaim(Attempt attempt, ClaimClient.Result claimed) {
+        boolean joining = progress.state() == RequestState.JOINING;
+        switch (claimed.verdict()) {
+            case CLAIMED -> {
+                trail.add(RequestStepKind.CLAIMED, "the identifier is recorded for this run");
+                return progress.on(joining ? RequestEvent.TAKEN_OVER : RequestEvent.CLAIMED);
+            }
+            case TAKEN -> {
+                abandon(attempt);
+                firstRun = claimed.other();
+                if (!firstRun.digest().equals(input.digest())) {
+                    lastFailure =
+                            failure(
+                                    FailureType.IDENTIFIER_REUSED,
+                                    "the identifier was used for another request");
+                    return progress.on(RequestEvent.REFUSED);
+                }
+                return progress.on(RequestEvent.CLAIM_TAKEN);
+            }
+            default -> {
+                abandon(attempt);
                 lastFailure =
-                        new SchedulerException(
-                                FailureType.NO_UPSTREAM, "no upstream takes work now");
+                        failure(
+                                joining
+                                        ? FailureType.OUTCOME_UNKNOWN
+                                        : FailureType.CLAIM_UNAVAILABLE,
+                                "too few agents recorded the identifier");
+                return progress.on(joining ? RequestEvent.UNKNOWN : RequestEvent.CLAIM_FAILED);
             }
+        }
+    }
+
+    private void abandon(Attempt attempt) {
+        end(attempt, AttemptResult.REFUSED);
+        context.claims().withdraw(claim);
+        claim = null;
+        tried.remove(attempt.chosen.upstream());
+    }
+
+    private Optional<RequestAction> joinFirstRun() {
+        RequestClaim other = firstRun;
+        context.metrics().count("requests.joined");
+        trail.add(
+                RequestStepKind.JOINED,
+                "the identifier belongs to a run with attempt " + other.attempt());
+        AgentTarget agent =
+                new AgentTarget(other.upstream(), other.agent(), other.agentIncarnation());
+        watch(AttemptId.parse(other.attempt()), agent)
+                .thenAccept(report -> step(() -> onFirstRun(other, report)));
+        return Optional.empty();
+    }
+
+    private Optional<RequestAction> onFirstRun(RequestClaim other, AttemptReport report) {
+        if (report.kind() == AttemptReport.Kind.ANSWERED) {
+            return onWhole(report.answer(), other.upstream(), false);
+        }
+        lastFailure = report.failure();
+        return switch (lastFailure.type().outcome()) {
+            case NOT_RUN -> claimIdentifier(other.attempt());
+            case RAN -> progress.on(RequestEvent.FAILED);
+            case UNKNOWN -> progress.on(RequestEvent.UNKNOWN);
+        };
+    }
+
+    private Optional<RequestAction> sendAttempt() {
+        if (!input.needsClaim() && !chooseAttempt()) {
             return progress.attemptFailed(Outcome.NOT_RUN);
         }
-        Attempt attempt = new Attempt(context.nextAttempt(), chosen.get());
-        current = attempt;
-        tried.add(chosen.get().upstream());
-        note(RequestStepKind.ATTEMPT_SENT, attempt, null, null);
+        Attempt attempt = current;
+        note(RequestStepKind.ATTEMPT_SENT, attempt, "expected in " + expectedMillis(attempt));
         long left = Math.max(0, input.deadlineNanos() - System.nanoTime());
-        attempt.sent =
-                context.client()
-                        .send(
-                                attempt.id,
-                                input,
-                                chosen.get().agent(),
-                                left,
-                                Duration.ofNanos(left + LATE_GRACE_NANOS));
-        attempt.probeNanos =
-                Math.min(
-                        LONGEST_PROBE_NANOS,
-                        Math.max(SHORTEST_PROBE_NANOS, 2 * chosen.get().expectedNanos()));
+        Duration timeout = Duration.ofNanos(left + LATE_GRACE_NANOS);
+        attempt.sent = context.client().send(attempt.id, input, attempt.agent(), left, timeout);
         attempt.sent.report().thenAccept(report -> step(() -> onReport(attempt, report)));
+        attempt.probeNanos = firstProbeNanos(attempt);
         later(attempt.probeNanos, () -> probe(attempt));
         return Optional.empty();
     }
 
     private void probe(Attempt attempt) {
         synchronized (this) {
-            if (attempt.over || current != attempt) {
+            if (isPast(attempt)) {
                 return;
             }
         }
         context.client()
-                .resolve(attempt.id, attempt.chosen.agent(), 0, QUESTION_TIMEOUT)
+                .resolve(attempt.id, attempt.agent(), 0, PROBE_TIMEOUT)
                 .thenAccept(report -> step(() -> onProbe(attempt, report)));
     }
 
     private Optional<RequestAction> onProbe(Attempt attempt, AttemptReport report) {
-        if (attempt.over || current != attempt) {
+        if (isPast(attempt) || progress.state() != RequestState.ATTEMPTING) {
             return Optional.empty();
         }
         switch (report.kind()) {
             case RUNNING -> {
                 attempt.silent = 0;
-                if (isBeyondGrace()) {
-                    return lost(attempt, "no answer long after the deadline");
-                }
                 attempt.probeNanos = Math.min(2 * attempt.probeNanos, 2 * LONGEST_PROBE_NANOS);
                 later(attempt.probeNanos, () -> probe(attempt));
                 return Optional.empty();
@@ -200,14 +284,12 @@
                 if (attempt.silent >= MAX_SILENT_QUESTIONS) {
                     return lost(attempt, report.failure().getMessage());
                 }
-                later(QUESTION_PAUSE_NANOS, () -> probe(attempt));
+                later(PROBE_PAUSE_NANOS, () -> probe(attempt));
                 return Optional.empty();
             }
             default -> {
                 context.metrics().count("connections.silent");
-                note(RequestStepKind.CONNECTION_LOST, attempt, null, "the connection is silent");
-                attempt.sent.call().cancel(true);
-                context.client().retireConnections();
+                retire(attempt, "the connection is silent, the agent answers on a fresh one");
                 return onReport(attempt, report);
             }
         }
@@ -215,40 +297,52 @@
 
     private Optional<RequestAction> lost(Attempt attempt, String detail) {
         context.metrics().count("connections.lost");
-        note(RequestStepKind.CONNECTION_LOST, attempt, null, detail);
-        attempt.silent = 0;
+        retire(attempt, detail);
+        return progress.on(RequestEvent.LOST);
+    }
+
+    private void retire(Attempt attempt, String detail) {
+        note(RequestStepKind.CONNECTION_LOST, attempt, detail);
         attempt.sent.call().cancel(true);
         context.client().retireConnections();
-        return progress.on(RequestEvent.LOST);
     }
 
     private Optional<RequestAction> onReport(Attempt attempt, AttemptReport report) {
-        if (attempt.over || current != attempt) {
+        if (isPast(attempt)) {
             return Optional.empty();
         }
         return switch (report.kind()) {
             case ANSWERED -> onAnswer(attempt, report.answer());
             case FAILED -> onFailure(attempt, report.failure());
-            case RUNNING -> progress.on(RequestEvent.RUNNING);
+            case RUNNING -> Optional.empty();
             case LOST, REFUSED -> lost(attempt, report.failure().getMessage());
         };
     }
 
     private Optional<RequestAction> onAnswer(Attempt attempt, AttemptAnswer whole) {
+        boolean ownFault = whole.status() >= 500;
+        end(attempt, ownFault ? AttemptResult.FAILURE : AttemptResult.SUCCESS);
+        note(
+                whole.isSuccess()
+                        ? RequestStepKind.ATTEMPT_ANSWERED
+                        : RequestStepKind.ATTEMPT_FAILED,
+                attempt,
+                "status " + whole.status());
+        return onWhole(whole, attempt.chosen.upstream(), ownFault);
+    }
+
+    private Optional<RequestAction> onWhole(
+            AttemptAnswer whole, String upstream, boolean mayRepeat) {
         if (whole.isSuccess()) {
-            end(attempt, AttemptResult.SUCCESS);
-            note(RequestStepKind.ATTEMPT_ANSWERED, attempt, null, null);
             answer = whole;
+            servedBy = upstream;
             return progress.on(RequestEvent.ANSWERED);
         }
-        boolean ownFault = whole.status() >= 500;
-        end(attempt, ownFault ? AttemptResult.FAILURE : AttemptResult.SUCCESS);
         lastFailure =
-                new SchedulerException(
+                failure(
                         FailureType.UPSTREAM_FAILED,
-                        "upstream " + attempt.chosen.upstream() + " answered " + whole.status());
-        note(RequestStepKind.ATTEMPT_FAILED, attempt, lastFailure.type(), lastFailure.getMessage());
-        return ownFault ? progress.attemptFailed(Outcome.RAN) : progress.on(RequestEvent.FAILED);
+                        "upstream " + upstream + " answered " + whole.status());
+        return mayRepeat ? progress.attemptFailed(Outcome.RAN) : progress.on(RequestEvent.FAILED);
     }
 
     private Optional<RequestAction> onFailure(Attempt attempt, SchedulerException failure) {
@@ -257,43 +351,37 @@
                         && failure.type() != FailureType.UPSTREAM_UNREACHABLE;
         end(attempt, healthy ? AttemptResult.REFUSED : AttemptResult.FAILURE);
         lastFailure = failure;
-        note(RequestStepKind.ATTEMPT_FAILED, attempt, failure.type(), failure.getMessage());
+        note(
+                RequestStepKind.ATTEMPT_FAILED,
+                attempt,
+                failure.type().text() + ", " + failure.getMessage());
         return progress.attemptFailed(failure.type().outcome());
     }
 
     private Optional<RequestAction> resolveAttempt() {
         Attempt attempt = current;
-        context.client()
-                .resolve(attempt.id, attempt.chosen.agent(), RESOLVE_WAIT_MILLIS, QUESTION_TIMEOUT)
+        watch(attempt.id, attempt.agent())
                 .thenAccept(report -> step(() -> onResolved(attempt, report)));
         return Optional.empty();
     }
 
     private Optional<RequestAction> onResolved(Attempt attempt, AttemptReport report) {
-        if (attempt.over || current != attempt) {
-            return Optional.empty();
-        }
-        boolean reached =
-                report.kind() != AttemptReport.Kind.LOST
-                        && report.kind() != AttemptReport.Kind.REFUSED;
-        if (reached && !(report.kind() == AttemptReport.Kind.RUNNING && isBeyondGrace())) {
-            return onReport(attempt, report);
+        if (report.kind() == AttemptReport.Kind.LOST) {
+            context.client().cancel(attempt.id, attempt.agent());
+            return onFailure(attempt, report.failure());
         }
-        attempt.silent++;
-        attempt.refused += report.kind() == AttemptReport.Kind.REFUSED ? 1 : 0;
-        boolean pastDeadline = System.nanoTime() >= input.deadlineNanos();
-        boolean enough = attempt.silent >= MAX_SILENT_QUESTIONS;
-        boolean gone = attempt.refused >= MAX_REFUSED_QUESTIONS;
-        if (gone || enough && (pastDeadline || input.idempotent())) {
-            context.client().cancel(attempt.id, attempt.chosen.agent());
-            return onFailure(
-                    attempt,
-                    new SchedulerException(
-                            FailureType.OUTCOME_UNKNOWN,
-                            "the agent of upstream " + attempt.chosen.upstream() + " is gone"));
-        }
-        later(QUESTION_PAUSE_NANOS, () -> step(this::resolveAttempt));
-        return Optional.empty();
+        return onReport(attempt, report);
+    }
+
+    private CompletableFuture<AttemptReport> watch(AttemptId id, AgentTarget agent) {
+        return new AttemptWatch(
+                        context,
+                        id,
+                        agent,
+                        input.idempotent(),
+                        input.deadlineNanos(),
+                        LATE_GRACE_NANOS)
+                .begin();
     }
 
     private Optional<RequestAction> considerRetry() {
@@ -305,9 +393,9 @@
         boolean allowed = possible && (isChangeOfMembers(reason) || context.pool().trySpendRetry());
         if (allowed) {
             context.metrics().countRetry(reason);
-            trail.add(RequestStepKind.RETRY, null, null, reason, null);
+            trail.add(RequestStepKind.RETRY, "because of " + reason.text());
         } else if (possible) {
-            context.metrics().countRefusal(FailureType.RETRY_BUDGET_EXHAUSTED);
+            context.metrics().count("retries.budget-exhausted");
         }
         return progress.retryDecided(allowed);
     }
@@ -319,8 +407,8 @@
         };
     }
 
-    private boolean isBeyondGrace() {
-        return System.nanoTime() > input.deadlineNanos() + LATE_GRACE_NANOS;
+    private boolean isPast(Attempt attempt) {
+        return attempt.over || current != attempt;
     }
 
     private void end(Attempt attempt, AttemptResult attemptResult) {
@@ -329,41 +417,55 @@
     }
 
     private RequestResult finalResult() {
-        trail.add(
-                RequestStepKind.FINISHED,
-                null,
-                null,
-                answer == null ? lastFailure.type() : null,
-                null);
-        String servedBy = answer == null ? null : current.chosen.upstream();
-        SchedulerException failure = answer == null ? finalFailure() : null;
-        return new RequestResult(input.id(), answer, servedBy, progress.attempts(), failure);
+        if (claim != null && progress.state() == RequestState.NOT_RUN) {
+            context.claims().withdraw(claim);
+        }
+        if (answer != null) {
+            trail.add(RequestStepKind.FINISHED, "answered by upstream " + servedBy);
+            return new RequestResult(input.id(), answer, servedBy, progress.attempts(), null);
+        }
+        SchedulerException failure = finalFailure();
+        context.metrics().countRefusal(failure.type());
+        trail.add(RequestStepKind.FINISHED, failure.type().text() + ", " + failure.getMessage());
+        return new RequestResult(input.id(), null, null, progress.attempts(), failure);
     }
 
     private SchedulerException finalFailure() {
-        FailureType type = lastFailure.type();
         Outcome outcome =
                 switch (progress.state()) {
                     case FAILED -> Outcome.RAN;
                     case UNKNOWN -> Outcome.UNKNOWN;
                     default -> Outcome.NOT_RUN;
                 };
+        FailureType type = lastFailure.type();
         if (type.outcome() != outcome) {
             type =
                     outcome == Outcome.RAN
                             ? FailureType.UPSTREAM_FAILED
                             : FailureType.OUTCOME_UNKNOWN;
         }
-        context.metrics().countRefusal(type);
         long retryAfter = lastFailure.retryAfterMillis();
-        if (outcome == Outcome.NOT_RUN && retryAfter == 0) {
-            retryAfter = context.pool().backlogMillis().orElse(LONGEST_PROBE_NANOS / 1_000_000);
+        if (type.status() == 503 && retryAfter == 0) {
+            retryAfter = context.pool().backlogMillis().orElse(DEFAULT_RETRY_AFTER_MILLIS);
         }
         return new SchedulerException(type, lastFailure.getMessage(), retryAfter);
     }
 
-    private void note(RequestStepKind kind, Attempt attempt, FailureType reason, String detail) {
-        trail.add(kind, attempt.id.toString(), attempt.chosen.upstream(), reason, detail);
+    private static SchedulerException failure(FailureType type, String detail) {
+        return new SchedulerException(type, detail);
+    }
+
+    private void note(RequestStepKind kind, Attempt attempt, String detail) {
+        trail.add(kind, attempt.id, attempt.chosen.upstream(), detail);
+    }
+
+    private static String expectedMillis(Attempt attempt) {
+        return TimeUnit.NANOSECONDS.toMillis(attempt.chosen.expectedNanos()) + " ms";
+    }
+
+    private static long firstProbeNanos(Attempt attempt) {
+        long nanos = Math.max(SHORTEST_PROBE_NANOS, 2 * attempt.chosen.expectedNanos());
+        return Math.min(LONGEST_PROBE_NANOS, nanos);
     }
 
     private void later(long nanos, Runnable task) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
@@ -20,6 +20,7 @@
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.member.Member;
+import org.fescueloom.report.ExplanationReport;
 import org.fescueloom.request.AdmissionLimits;
 import org.fescueloom.request.AdmissionQueue;
 import org.fescueloom.request.QueuedAttempt;
@@ -31,6 +32,7 @@
 public final class RequestService implements Service {
     private static final int MAX_RUNNING = 192;
     private static final int MAX_QUESTIONS = 64;
+    private static final int MAX_CLAIM_CALLS = 64;
     private static final int JOURNAL_SIZE = 2_000;
     private static final long MAX_RUNNING_BYTES = 24L << 20;
     private static final AdmissionLimits LIMITS = new AdmissionLimits(1_024, 512, 16L << 20);
@@ -96,10 +98,18 @@
                         SelectionPolicy.EXPECTED_COMPLETION,
                         System::nanoTime);
         AttemptClient client = new AttemptClient(MAX_RUNNING, MAX_QUESTIONS, pool::note);
+        ClaimClient claims = new ClaimClient(agents, MAX_CLAIM_CALLS);
         String issuer = member.replaceAll("[^A-Za-z0-9_-]", "-");
         context =
                 new RequestContext(
-                        issuer, incarnation, new AtomicLong(), pool, client, timer, metrics);
+                        issuer,
+                        incarnation,
+                        new AtomicLong(),
+                        pool,
+                        client,
+                        claims,
+                        timer,
+                        metrics);
         queue = new AdmissionQueue<>(LIMITS, this::guaranteedShare);
         queue.setSlots(MAX_RUNNING);
     }
@@ -117,9 +127,9 @@
      * Explains the way of a recent request.
      *
      * @param request the identifier of the request, may be null
-     * @return a value to write as JSON, or empty if the request is not known here
+     * @return the explanation, or empty if the request is not known here
      */
-    public Optional<Object> explain(String request) {
+    public Optional<ExplanationReport> explain(String request) {
         return journal.find(request).map(RequestTrail::explain);
     }
 
@@ -133,10 +143,7 @@
         timer.scheduleWithFixedDelay(
                 this::startNext, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(
-                context.client()::retireConnections,
-                RETIRE_SECONDS,
-                RETIRE_SECONDS,
-                TimeUnit.SECONDS);
+                this::retireConnections, RETIRE_SECONDS, RETIRE_SECONDS, TimeUnit.SECONDS);
     }
 
     @Override
@@ -158,6 +165,7 @@
     public void close() {
         timer.shutdownNow();
         context.client().close();
+        context.claims().close();
     }
 
     private CompletableFuture<HttpReply> request(HttpCall call) {
@@ -178,6 +186,7 @@
             throw new SchedulerException(
                     FailureType.SHUTTING_DOWN, "the entry is shutting down", SWEEP_MILLIS);
         }
+        journal.requireSameRequest(input);
         RequestTrail trail = new RequestTrail(member, input);
         Waiting waiting = new Waiting(new RequestRun(input, context, trail));
         synchronized (this) {
@@ -284,6 +293,11 @@
         return unfinished;
     }
 
+    private void retireConnections() {
+        context.client().retireConnections();
+        context.claims().retireConnections();
+    }
+
     private boolean isZoneIn(String zone) {
         return config.get().zone(zone).filter(z -> z.state() == ZoneState.IN).isPresent();
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestStepKind.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestStepKind.java
@@ -1,6 +1,5 @@
 package org.fescueloom.daemon.entry;
 
-import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.Locale;
 
 /** Names the steps on the way of a request. */
@@ -27,11 +26,10 @@
     FINISHED;
 
     /**
-     * Returns the text that stands for this kind in JSON.
+     * Returns the text that stands for this kind in explanations.
      *
      * @return the name in lower case with hyphens, never null
      */
-    @JsonValue
     String text() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestTrail.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestTrail.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
-import org.fescueloom.failure.FailureType;
+import org.fescueloom.report.ExplanationReport;
+import org.fescueloom.report.ExplanationStep;
+import org.fescueloom.request.AttemptId;
 import org.fescueloom.request.RequestState;
 
 /** Collects the steps on the way of one request; can be used by many threads. */
@@ -12,11 +14,12 @@
     private static final int MAX_STEPS = 60;
 
     private final String request;
+    private final String digest;
     private final String entry;
     private final String customer;
     private final String serviceClass;
     private final boolean idempotent;
-    private final List<RequestStep> steps = new ArrayList<>();
+    private final List<ExplanationStep> steps = new ArrayList<>();
     private RequestState state = RequestState.RECEIVED;
 
     /**
@@ -28,6 +31,7 @@
     RequestTrail(String entry, RequestInput input) {
         this.entry = Objects.requireNonNull(entry, "entry");
         request = input.id();
+        digest = input.digest();
         customer = input.customer();
         serviceClass = input.serviceClass().name();
         idempotent = input.idempotent();
@@ -37,23 +41,26 @@
      * Adds a step; after a bound further steps are dropped.
      *
      * @param kind what happened, not null
-     * @param attempt the attempt; null for none
-     * @param upstream the upstream; null for none
-     * @param reason the type of the failure; null for none
-     * @param detail a sentence for a person; null for none
+     * @param detail what was decided and why, in words, not null
      */
-    synchronized void add(
-            RequestStepKind kind,
-            String attempt,
-            String upstream,
-            FailureType reason,
-            String detail) {
+    synchronized void add(RequestStepKind kind, String detail) {
         if (steps.size() < MAX_STEPS) {
-            long now = System.currentTimeMillis();
-            steps.add(new RequestStep(now, kind, attempt, upstream, reason, detail));
+            steps.add(new ExplanationStep(System.currentTimeMillis(), kind.text(), detail));
         }
     }
 
+    /**
+     * Adds a step of an attempt.
+     *
+     * @param kind what happened, not null
+     * @param attempt the attempt, not null
+     * @param upstream the upstream, not null
+     * @param detail what was decided and why, in words, not null
+     */
+    void add(RequestStepKind kind, AttemptId attempt, String upstream, String detail) {
+        add(kind, "attempt " + attempt + " at upstream " + upstream + ": " + detail);
+    }
+
     /**
      * Sets the state of the request.
      *
@@ -72,14 +79,32 @@
         return request;
     }
 
+    /**
+     * Returns the digest of the request.
+     *
+     * @return the digest, never null
+     */
+    String digest() {
+        return digest;
+    }
+
     /**
      * Explains the way of the request until now.
      *
      * @return the explanation, never null
      */
-    synchronized RequestExplanation explain() {
+    synchronized ExplanationReport explain() {
         String text = state.name().toLowerCase(Locale.ROOT).replace('_', '-');
-        return new RequestExplanation(
-                request, entry, customer, serviceClass, idempotent, text, steps);
+        String last = steps.isEmpty() ? "" : "; last: " + steps.get(steps.size() - 1).detail();
+        String repeatable = idempotent ? ", idempotent" : ", not idempotent";
+        String summary =
+                "class "
+                        + serviceClass
+                        + ", customer "
+                        + customer
+                        + repeatable
+                        + ", entry "
+                        + entry;
+        return new ExplanationReport(request, "request", text, summary + last, steps);
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/UpstreamPool.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/UpstreamPool.java
@@ -39,6 +39,7 @@
     private final UpstreamSelector selector;
     private final RetryBudget budget = new RetryBudget(RETRY_SHARE, RETRY_CAPACITY);
     private final Map<String, Long> heardAtMillis = new HashMap<>();
+    private final Map<String, Long> distances = new HashMap<>();
 
     /**
      * Creates a pool.
@@ -63,9 +64,9 @@
     }
 
     /** Is an agent that was chosen, with the time after which its answer is expected. */
-    record Chosen(Announcement agent, long expectedNanos) {
+    record Chosen(AgentTarget agent, long expectedNanos) {
         String upstream() {
-            return agent.agent().upstream();
+            return agent.upstream();
         }
     }
 
@@ -82,8 +83,7 @@
                 usable.keySet().stream().filter(u -> !excluded.contains(u)).toList();
         Optional<UpstreamChoice> choice = selector.select(allowed, now);
         choice.ifPresent(c -> selector.recordStart(c.upstream(), now));
-        return choice.map(
-                c -> new Chosen(usable.get(c.upstream()).announcement(), c.expectedNanos()));
+        return choice.map(c -> new Chosen(target(usable.get(c.upstream())), c.expectedNanos()));
     }
 
     /**
@@ -92,8 +92,11 @@
      * @param agent the agent, not null
      * @param status the status, not null
      */
-    synchronized void note(Announcement agent, AgentStatus status) {
-        selector.update(new UpstreamFigures(status, distanceNanos(agent), nanoTime.getAsLong()));
+    synchronized void note(AgentTarget agent, AgentStatus status) {
+        Long distance = distances.get(agent.upstream());
+        if (distance != null) {
+            selector.update(new UpstreamFigures(status, distance, nanoTime.getAsLong()));
+        }
     }
 
     /**
@@ -142,16 +145,20 @@
             usable.put(status.upstream(), agent);
             Long heard = heardAtMillis.put(status.upstream(), agent.heardAtMillis());
             if (heard == null || heard != agent.heardAtMillis()) {
-                long distance = distanceNanos(agent.announcement());
+                long distance = zone.equals(agent.zone()) ? SAME_ZONE_NANOS : OTHER_ZONE_NANOS;
+                distances.put(status.upstream(), distance);
                 selector.update(new UpstreamFigures(status, distance, now));
             }
         }
         heardAtMillis.keySet().retainAll(usable.keySet());
+        distances.keySet().retainAll(usable.keySet());
         selector.retain(usable.keySet());
         return usable;
     }
 
-    private long distanceNanos(Announcement agent) {
-        return zone.equals(agent.zone()) ? SAME_ZONE_NANOS : OTHER_ZONE_NANOS;
+    private static AgentTarget target(Member agent) {
+        Announcement announcement = agent.announcement();
+        return new AgentTarget(
+                announcement.agent().upstream(), agent.address(), announcement.incarnation());
     }
 }
