Interpret the chart of attempts in the agent's registry

Cause: the registry had its own copy of the states that attempt.json describes. Ruled out: two sources of the same rules. Change: the registry asks the chart; the chart has the state absent, so that the tombstone shows. Measured: RequestServiceTest green. Conclusion: the walk can use the same chart.

--- a/fescueloom-core/src/main/java/org/fescueloom/request/AttemptRegistry.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/AttemptRegistry.java
@@ -7,6 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
+import org.fescueloom.chart.StateChart;
+import org.fescueloom.chart.Transition;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.wire.AttemptState;
@@ -22,6 +24,8 @@
  * <p>Not safe for use by several threads at once.
  */
 public final class AttemptRegistry {
+    private static final StateChart<AttemptPhase, AttemptEvent, AttemptAction> CHART =
+            StateChart.load("attempt", AttemptPhase.class, AttemptEvent.class, AttemptAction.class);
     private static final int MAX_ISSUERS = 1_000;
 
     private final long retentionNanos;
@@ -60,10 +64,12 @@
     public void accept(AttemptId id) {
         Entry known = entries.get(id);
         if (known == null && !isForgotten(id)) {
-            entries.put(id, new Entry());
+            Entry entry = new Entry();
+            entry.phase = CHART.next(entry.phase, AttemptEvent.ARRIVED).target();
+            entries.put(id, entry);
             return;
         }
-        if (known == null || known.phase == Phase.CANCELLED) {
+        if (known == null || known.phase == AttemptPhase.CANCELLED) {
             throw new SchedulerException(
                     FailureType.ATTEMPT_CANCELLED,
                     "attempt " + id + " was cancelled or is too old");
@@ -76,15 +82,11 @@
      * Marks a waiting attempt as sent to the upstream.
      *
      * @param id the attempt, not null
+     * @param nowNanos the time
      * @return false if the attempt does not wait, for instance because it was cancelled
      */
-    public boolean start(AttemptId id) {
-        Entry entry = entries.get(id);
-        if (entry == null || entry.phase != Phase.QUEUED) {
-            return false;
-        }
-        entry.phase = Phase.RUNNING;
-        return true;
+    public boolean start(AttemptId id, long nowNanos) {
+        return entries.containsKey(id) && apply(id, AttemptEvent.SLOT_GRANTED, nowNanos) != null;
     }
 
     /**
@@ -97,7 +99,7 @@
      */
     public boolean answer(AttemptId id, AttemptAnswer answer, long nowNanos) {
         Objects.requireNonNull(answer, "answer");
-        Entry entry = finish(id, Phase.RUNNING, Phase.ANSWERED, nowNanos);
+        Entry entry = apply(id, AttemptEvent.WHOLE_ANSWER, nowNanos);
         if (entry == null) {
             return false;
         }
@@ -117,13 +119,13 @@
      * @return false if the attempt does not run
      */
     public boolean fail(AttemptId id, FailureType type, long nowNanos) {
-        Phase phase =
+        AttemptEvent event =
                 switch (type.outcome()) {
-                    case NOT_RUN -> Phase.CANCELLED;
-                    case RAN -> Phase.ANSWERED;
-                    case UNKNOWN -> Phase.LOST;
+                    case NOT_RUN -> AttemptEvent.CONNECTION_REFUSED;
+                    case RAN -> AttemptEvent.INVALID_ANSWER;
+                    case UNKNOWN -> AttemptEvent.UPSTREAM_LOST;
                 };
-        Entry entry = finish(id, Phase.RUNNING, phase, nowNanos);
+        Entry entry = apply(id, event, nowNanos);
         if (entry != null) {
             entry.failure = type;
         }
@@ -134,11 +136,14 @@
      * Cancels an attempt that waits or has not arrived, so that it never starts.
      *
      * @param id the attempt, not null
+     * @param reason the event that is the reason, not null
      * @param nowNanos the time
      * @return true if the attempt is cancelled now or was before
      */
-    public boolean cancel(AttemptId id, long nowNanos) {
-        return resolve(id, nowNanos).state() == AttemptState.CANCELLED;
+    public boolean cancel(AttemptId id, AttemptEvent reason, long nowNanos) {
+        apply(id, reason, nowNanos);
+        Entry entry = entries.get(id);
+        return entry != null && entry.phase == AttemptPhase.CANCELLED;
     }
 
     /**
@@ -150,18 +155,9 @@
      * @return what is known, never null
      */
     public AttemptResolution resolve(AttemptId id, long nowNanos) {
+        apply(id, AttemptEvent.RESOLVE_REQUESTED, nowNanos);
         Entry entry = entries.get(id);
-        if (entry == null && isForgotten(id)) {
-            return AttemptResolution.of(AttemptState.UNKNOWN);
-        }
-        if (entry == null) {
-            entry = new Entry();
-            entries.put(id, entry);
-        }
-        if (entry.phase == Phase.QUEUED) {
-            finish(id, Phase.QUEUED, Phase.CANCELLED, nowNanos);
-        }
-        return entry.resolution();
+        return entry == null ? AttemptResolution.of(AttemptState.UNKNOWN) : entry.resolution();
     }
 
     /**
@@ -195,15 +191,24 @@
         return entries.size();
     }
 
-    private Entry finish(AttemptId id, Phase from, Phase to, long nowNanos) {
+    private Entry apply(AttemptId id, AttemptEvent event, long nowNanos) {
         Entry entry = entries.get(id);
-        if (entry == null || entry.phase != from) {
+        if (entry == null && isForgotten(id)) {
             return null;
         }
-        entry.phase = to;
-        finished.addLast(new Finished(id, nowNanos));
-        expire(nowNanos);
-        return entry;
+        AttemptPhase from = entry == null ? CHART.initial() : entry.phase;
+        Transition<AttemptPhase, AttemptAction> transition = CHART.next(from, event);
+        if (transition.ignored()) {
+            return null;
+        }
+        Entry changed = entry == null ? new Entry() : entry;
+        changed.phase = transition.target();
+        entries.put(id, changed);
+        if (CHART.isTerminal(changed.phase)) {
+            finished.addLast(new Finished(id, nowNanos));
+            expire(nowNanos);
+        }
+        return changed;
     }
 
     private void dropOldAnswers() {
@@ -216,7 +221,7 @@
         if (entry.answer != null) {
             answerBytes -= entry.answer.body().length;
             entry.answer = null;
-            entry.phase = Phase.LOST;
+            entry.phase = AttemptPhase.UNKNOWN;
         }
     }
 
@@ -239,29 +244,15 @@
         return highest != null && id.sequence() <= highest;
     }
 
-    private enum Phase {
-        QUEUED(AttemptState.CANCELLED),
-        RUNNING(AttemptState.RUNNING),
-        ANSWERED(AttemptState.ANSWERED),
-        CANCELLED(AttemptState.CANCELLED),
-        LOST(AttemptState.UNKNOWN);
-
-        private final AttemptState state;
-
-        Phase(AttemptState state) {
-            this.state = state;
-        }
-    }
-
     private record Finished(AttemptId id, long atNanos) {}
 
     private static final class Entry {
-        private Phase phase = Phase.QUEUED;
+        private AttemptPhase phase = CHART.initial();
         private AttemptAnswer answer;
         private FailureType failure;
 
         private AttemptResolution resolution() {
-            return new AttemptResolution(phase.state, answer, failure);
+            return new AttemptResolution(phase.resolved(), answer, failure);
         }
     }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/request/RequestProgress.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/RequestProgress.java
@@ -19,8 +19,8 @@
 
     private final boolean idempotent;
     private final boolean claimed;
-    private RequestState state = CHART.initial();
-    private Outcome worst = Outcome.NOT_RUN;
+    private RequestState state;
+    private Outcome worst;
     private int attempts;
 
     /**
@@ -30,8 +30,16 @@
      * @param claimed whether the identifier must be recorded before each attempt
      */
     public RequestProgress(boolean idempotent, boolean claimed) {
+        this(idempotent, claimed, CHART.initial(), Outcome.NOT_RUN, 0);
+    }
+
+    RequestProgress(
+            boolean idempotent, boolean claimed, RequestState state, Outcome worst, int attempts) {
         this.idempotent = idempotent;
         this.claimed = claimed;
+        this.state = state;
+        this.worst = worst;
+        this.attempts = attempts;
     }
 
     /**
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AttemptScheduler.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AttemptScheduler.java
@@ -15,6 +15,7 @@
 import org.fescueloom.request.AdmissionLimits;
 import org.fescueloom.request.AdmissionQueue;
 import org.fescueloom.request.AttemptAnswer;
+import org.fescueloom.request.AttemptEvent;
 import org.fescueloom.request.AttemptId;
 import org.fescueloom.request.AttemptRegistry;
 import org.fescueloom.request.AttemptResolution;
@@ -109,7 +110,7 @@
         try {
             queue.offer(queued, now);
         } catch (SchedulerException e) {
-            registry.cancel(attempt.id, now);
+            registry.cancel(attempt.id, AttemptEvent.SHUTDOWN, now);
             throw e;
         }
         pending.put(attempt.id, queued);
@@ -124,7 +125,7 @@
         long now = nanoTime.getAsLong();
         Work work = Work.none();
         for (QueuedAttempt<PendingAttempt> late : queue.removeLate(now)) {
-            refuse(late, tooLate(), work, now);
+            refuse(late, AttemptEvent.DEADLINE_PASSED, tooLate(), work, now);
         }
         for (var next = queue.poll(); next.isPresent(); next = queue.poll()) {
             startOrRefuse(next.get(), work, now);
@@ -171,7 +172,7 @@
         }
         long now = nanoTime.getAsLong();
         if (queued != null && queue.remove(queued)) {
-            refuse(queued, cancelled(id), work, now);
+            refuse(queued, AttemptEvent.RESOLVE_REQUESTED, cancelled(id), work, now);
         }
         return registry.resolve(id, now);
     }
@@ -243,20 +244,24 @@
                                                     "the upstream fell silent",
                                                     queue.backlogMillis()));
             gate.check();
-            if (!registry.start(attempt.id)) {
+            if (!registry.start(attempt.id, now)) {
                 throw cancelled(attempt.id);
             }
             work.starts().add(new Start(attempt, upstream));
         } catch (SchedulerException e) {
             queue.finish(next, 0, false, now);
-            refuse(next, e, work, now);
+            refuse(next, AttemptEvent.SHUTDOWN, e, work, now);
         }
     }
 
     private void refuse(
-            QueuedAttempt<PendingAttempt> queued, SchedulerException e, Work work, long now) {
+            QueuedAttempt<PendingAttempt> queued,
+            AttemptEvent reason,
+            SchedulerException e,
+            Work work,
+            long now) {
         pending.remove(queued.work().id);
-        registry.cancel(queued.work().id, now);
+        registry.cancel(queued.work().id, reason, now);
         work.refusals().add(new Refusal(queued.work(), e));
     }
 
