Add the log client, configuration follower, announcements and operator API

Ruled out: an outage exception without a wait of the writer. A slow log can take a change while all entries still say that it is down, so an entry stops saying so and waits out 3 s before it appends. Also ruled out: a blind second append after a lost answer; the stream is read back first. Change: LogClient with group commit, StreamFollower with a bounded replay window, ConfigurationFollower, ConfigurationPublisher, SnapshotKeeper, AnnouncementClient, ZoneChanger and the routes, put together in Cluster; core gains ConfigurationTracker, EntryDirectory, Backoff and ConfigProof.foldedTo (additive, with the former constructor kept).

--- a/fescueloom-core/src/main/java/org/fescueloom/config/ConfigurationHistory.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/config/ConfigurationHistory.java
@@ -41,8 +41,8 @@
     private long next;
     private long firstRead;
     private long version = ConfigurationRecord.NO_VERSION;
-    private long refreshedAtMillis = Long.MIN_VALUE;
-    private long lastTimestampMillis = Long.MIN_VALUE;
+    private long coveredAtMillis = Long.MAX_VALUE;
+    private long coveredOffset;
     private ConfigurationDocument document = ConfigurationDocument.EMPTY;
     private boolean complete = true;
 
@@ -70,7 +70,6 @@
         }
         skipTo(record.offset());
         next = record.offset() + 1;
-        lastTimestampMillis = record.timestampMillis();
         if (complete) {
             fold(record);
         } else {
@@ -121,31 +120,28 @@
         return document;
     }
 
-    /**
-     * Tells whether every record below {@link #next()} is part of the state.
-     *
-     * @return false after records expired unread, until a snapshot makes up for them
-     */
+    @Override
     public boolean complete() {
         return complete;
     }
 
     /**
-     * Returns when the state in force was last written, by the clock of the log.
+     * Returns when the last snapshot was appended, by the clock of the log.
      *
-     * @return the time in milliseconds since the epoch; {@code Long.MIN_VALUE} if never
+     * @return the time in milliseconds since the epoch; without a snapshot the time of the first
+     *     record; {@code Long.MAX_VALUE} before the first record
      */
-    public long refreshedAtMillis() {
-        return refreshedAtMillis;
+    public long coveredAtMillis() {
+        return coveredAtMillis;
     }
 
     /**
-     * Returns the time of the last record, by the clock of the log.
+     * Returns how many records a fresh process has to read beyond the last snapshot.
      *
-     * @return the time in milliseconds since the epoch; {@code Long.MIN_VALUE} before the first
+     * @return the number of records, at least 0
      */
-    public long lastTimestampMillis() {
-        return lastTimestampMillis;
+    public long uncoveredRecords() {
+        return next - coveredOffset;
     }
 
     /**
@@ -180,6 +176,7 @@
     }
 
     private void fold(LogRecord record) {
+        coveredAtMillis = Math.min(coveredAtMillis, record.timestampMillis());
         RecordVerdict verdict = judge(record);
         if (verdict != RecordVerdict.ACCEPTED && verdicts.containsKey(record.id())) {
             increment(RecordVerdict.REPEATED);
@@ -201,7 +198,8 @@
         }
         if (content.kind() == ConfigurationRecord.Kind.SNAPSHOT) {
             if (content.base() == version) {
-                refreshedAtMillis = record.timestampMillis();
+                coveredAtMillis = record.timestampMillis();
+                coveredOffset = record.offset();
             }
             return RecordVerdict.SNAPSHOT;
         }
@@ -210,7 +208,6 @@
         }
         version = record.offset();
         document = content.document();
-        refreshedAtMillis = record.timestampMillis();
         return RecordVerdict.ACCEPTED;
     }
 
--- a/fescueloom-core/src/main/java/org/fescueloom/log/StreamFold.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/log/StreamFold.java
@@ -26,4 +26,14 @@
      * @param first the lowest offset that the stream still keeps
      */
     void skipTo(long first);
+
+    /**
+     * Tells whether every record below {@link #next()} is part of the state.
+     *
+     * @return false after records were skipped, until later records make up for them; a fold
+     *     without snapshots always returns true
+     */
+    default boolean complete() {
+        return true;
+    }
 }
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/member/EntryDirectory.java
@@ -0,0 +1,79 @@
+package org.fescueloom.member;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Keeps the addresses of the entries that a process announces itself to. Can be used by many
+ * threads.
+ *
+ * <p>The addresses of the settings are always announced to, so that a process finds the others
+ * again after any outage. The others are forgotten when no entry has listed them for a while.
+ */
+public final class EntryDirectory {
+    /** The time after which an address that is no longer listed is forgotten, in milliseconds. */
+    public static final long FORGET_AFTER_MILLIS = 15_000L;
+
+    private final List<String> seeds;
+    private final Map<String, Long> listedAt = new HashMap<>();
+    private String self = "";
+
+    /**
+     * Creates a directory.
+     *
+     * @param seeds the addresses from the settings, not null
+     */
+    public EntryDirectory(Collection<String> seeds) {
+        this.seeds = List.copyOf(seeds);
+    }
+
+    /**
+     * Leaves out the address of this process.
+     *
+     * @param address the address, not null
+     */
+    public synchronized void exclude(String address) {
+        self = Objects.requireNonNull(address, "address");
+        listedAt.remove(self);
+    }
+
+    /**
+     * Takes addresses that a live entry has, or that it listed.
+     *
+     * @param addresses the addresses, not null
+     * @param nowMillis the time now
+     */
+    public synchronized void list(Collection<String> addresses, long nowMillis) {
+        addresses.forEach(a -> listedAt.put(a, nowMillis));
+        listedAt.remove(self);
+    }
+
+    /**
+     * Returns the addresses to announce to.
+     *
+     * @param nowMillis the time now
+     * @return the addresses in order, never null
+     */
+    public synchronized Set<String> known(long nowMillis) {
+        Set<String> all = new TreeSet<>(seeds);
+        all.addAll(live(nowMillis));
+        all.remove(self);
+        return all;
+    }
+
+    /**
+     * Returns the addresses of the entries that were listed lately.
+     *
+     * @param nowMillis the time now
+     * @return the addresses in order, never null
+     */
+    public synchronized Set<String> live(long nowMillis) {
+        listedAt.values().removeIf(t -> nowMillis - t >= FORGET_AFTER_MILLIS);
+        return new TreeSet<>(listedAt.keySet());
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/package-info.java
@@ -0,0 +1,2 @@
+/** What all processes share: the log, the configuration, the members, and the operators' calls. */
+package org.fescueloom.daemon.cluster;
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/cluster/ClusterNode.java
@@ -0,0 +1,79 @@
+package org.fescueloom.daemon.cluster;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import okhttp3.Request;
+import org.fescueloom.daemon.http.HttpAnswer;
+import org.fescueloom.daemon.http.HttpClient;
+import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.daemon.settings.Role;
+import org.fescueloom.daemon.settings.Settings;
+
+/** Runs the cluster part of one daemon, and calls it. */
+final class ClusterNode implements AutoCloseable {
+    private static final HttpClient HTTP = new HttpClient(32, Duration.ofSeconds(1));
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+    private static final int MAX_BODY_BYTES = 1 << 20;
+
+    final Metrics metrics = new Metrics();
+    final Cluster cluster;
+    private final HttpServer server = new HttpServer("127.0.0.1", 0, MAX_BODY_BYTES);
+
+    ClusterNode(Role role, String member, String zone, String log, List<String> entries) {
+        this(role, member, zone, log, entries, null);
+    }
+
+    ClusterNode(
+            Role role,
+            String member,
+            String zone,
+            String log,
+            List<String> entries,
+            TcpRelay before) {
+        Settings settings =
+                new Settings(
+                        role, member, zone, "127.0.0.1:0", null, entries, List.of(log), null, null);
+        cluster = new Cluster(settings, metrics);
+        cluster.routes(server);
+        server.start();
+        if (before == null) {
+            cluster.start(address());
+        } else {
+            before.target(address());
+            cluster.start(before.address());
+        }
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.port();
+    }
+
+    long version() {
+        return cluster.view().version();
+    }
+
+    long counter(String name) {
+        return metrics.registry().counter(name).getCount();
+    }
+
+    CompletableFuture<HttpAnswer> send(String method, String path, Object body, String ifMatch) {
+        Request.Builder request = HttpClient.request(method, address(), path, body);
+        if (ifMatch != null) {
+            request.header("If-Match", ifMatch);
+        }
+        return HTTP.send(request.build(), TIMEOUT);
+    }
+
+    HttpAnswer call(String method, String path, Object body, String ifMatch) {
+        return send(method, path, body, ifMatch).join();
+    }
+
+    @Override
+    public void close() {
+        cluster.drain();
+        cluster.close();
+        server.close();
+    }
+}
