Split the planning of a round from the planner's service

Change: RoundPlanner builds the input, plans and posts the reasons; the service elects and carries out.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/ExplainRoutes.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/ExplainRoutes.java
@@ -10,10 +10,11 @@
 import org.fescueloom.daemon.http.HttpServer;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.report.ExplanationReport;
 
 /** Serves the explanation of a request or a job. */
 final class ExplainRoutes implements Service {
-    private final List<Function<String, Optional<Object>>> sources;
+    private final List<Function<String, Optional<ExplanationReport>>> sources;
 
     /**
      * Creates the routes.
@@ -21,7 +22,7 @@
      * @param sources find an explanation by the identifier, the first that has one answers, not
      *     null
      */
-    ExplainRoutes(List<Function<String, Optional<Object>>> sources) {
+    ExplainRoutes(List<Function<String, Optional<ExplanationReport>>> sources) {
         this.sources = List.copyOf(Objects.requireNonNull(sources, "sources"));
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
@@ -25,6 +25,7 @@
 import org.fescueloom.placement.PlacementPolicy;
 import org.fescueloom.placement.RunTimeEstimates;
 import org.fescueloom.placement.WorkerCondition;
+import org.fescueloom.report.ExplanationReport;
 
 /** Puts together the job path of one process: keepers everywhere, routes and planner on entries. */
 public final class JobSystem implements Service {
@@ -85,9 +86,13 @@
                         jobLog,
                         cluster.log(),
                         runner,
-                        new PlanInputBuilder(new RunTimeEstimates()),
-                        POLICY.planner(),
-                        board,
+                        new RoundPlanner(
+                                jobCluster,
+                                ledger,
+                                new PlanInputBuilder(new RunTimeEstimates()),
+                                POLICY.planner(),
+                                board,
+                                metrics),
                         metrics);
         PlannerDirectory planners = new PlannerDirectory(planner::isPlanning, this::plannerAddress);
         StreamFollower<EpochBook> epochFollower =
@@ -117,7 +122,7 @@
      * @param id the identifier, not null
      * @return the explanation, or empty if no job of this name is known
      */
-    public Optional<Object> explain(String id) {
+    public Optional<ExplanationReport> explain(String id) {
         return ledger.job(id).map(reports::explain);
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlannerService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlannerService.java
@@ -1,11 +1,8 @@
 package org.fescueloom.daemon.jobs;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -16,14 +13,11 @@
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.job.EpochClaim;
-import org.fescueloom.job.GangPlaced;
 import org.fescueloom.job.GangResult;
 import org.fescueloom.job.PlannerStarted;
 import org.fescueloom.json.Json;
 import org.fescueloom.placement.MoveGang;
 import org.fescueloom.placement.Plan;
-import org.fescueloom.placement.PlanInput;
-import org.fescueloom.placement.Planner;
 import org.fescueloom.placement.PreemptGang;
 import org.fescueloom.placement.StartGang;
 
@@ -46,9 +40,7 @@
     private final JobLog jobLog;
     private final LogClient log;
     private final GangRunner runner;
-    private final PlanInputBuilder inputs;
-    private final Planner planner;
-    private final PlanBoard board;
+    private final RoundPlanner rounds;
     private final Metrics metrics;
     private volatile long startedEpoch = -1L;
     private volatile boolean draining;
@@ -62,9 +54,7 @@
      * @param jobLog writes job records, not null
      * @param log writes claims, not null
      * @param runner carries out decisions, not null
-     * @param inputs builds the input of a round, not null
-     * @param planner decides, not null
-     * @param board keeps the reasons for waiting, not null
+     * @param rounds decides, not null
      * @param metrics counts rounds and decisions, not null
      */
     public PlannerService(
@@ -74,9 +64,7 @@
             JobLog jobLog,
             LogClient log,
             GangRunner runner,
-            PlanInputBuilder inputs,
-            Planner planner,
-            PlanBoard board,
+            RoundPlanner rounds,
             Metrics metrics) {
         this.cluster = Objects.requireNonNull(cluster, "cluster");
         this.election = Objects.requireNonNull(election, "election");
@@ -84,9 +72,7 @@
         this.jobLog = Objects.requireNonNull(jobLog, "jobLog");
         this.log = Objects.requireNonNull(log, "log");
         this.runner = Objects.requireNonNull(runner, "runner");
-        this.inputs = Objects.requireNonNull(inputs, "inputs");
-        this.planner = Objects.requireNonNull(planner, "planner");
-        this.board = Objects.requireNonNull(board, "board");
+        this.rounds = Objects.requireNonNull(rounds, "rounds");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
 
@@ -141,7 +127,7 @@
         } else if (epoch.get() != startedEpoch) {
             announceStart(epoch.get());
         } else {
-            plan(epoch.get());
+            carryOut(rounds.plan(runner), epoch.get());
         }
     }
 
@@ -177,29 +163,6 @@
                         });
     }
 
-    private void plan(long epoch) {
-        Map<String, GangPlaced> starting = runner.starting();
-        Set<String> ending = new HashSet<>(runner.busy());
-        ending.removeAll(starting.keySet());
-        PlanInput input =
-                ledger.read(
-                        book ->
-                                inputs.build(
-                                        book,
-                                        cluster.workers(),
-                                        cluster.document(),
-                                        runner.backoffs(),
-                                        starting,
-                                        ending,
-                                        System.currentTimeMillis()));
-        Plan plan;
-        try (var ignored = metrics.timer("planner.round").time()) {
-            plan = planner.plan(input);
-        }
-        board.post(plan);
-        carryOut(plan, epoch);
-    }
-
     private void carryOut(Plan plan, long epoch) {
         for (PreemptGang preempt : plan.decisions(PreemptGang.class)) {
             runner.stop(preempt.job(), GangResult.PREEMPTED, preempt.words());
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/RoundPlanner.java
@@ -0,0 +1,75 @@
+package org.fescueloom.daemon.jobs;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.placement.Plan;
+import org.fescueloom.placement.PlanInput;
+import org.fescueloom.placement.Planner;
+
+/** Plans one round on what this process knows now, and posts the reasons for waiting. */
+public final class RoundPlanner {
+    private final JobCluster cluster;
+    private final JobLedger ledger;
+    private final PlanInputBuilder inputs;
+    private final Planner planner;
+    private final PlanBoard board;
+    private final Metrics metrics;
+
+    /**
+     * Creates the planner of rounds.
+     *
+     * @param cluster gives the workers and the configuration, not null
+     * @param ledger keeps the jobs, not null
+     * @param inputs builds the input of a round, not null
+     * @param planner decides, not null
+     * @param board keeps the reasons for waiting, not null
+     * @param metrics times the rounds, not null
+     */
+    public RoundPlanner(
+            JobCluster cluster,
+            JobLedger ledger,
+            PlanInputBuilder inputs,
+            Planner planner,
+            PlanBoard board,
+            Metrics metrics) {
+        this.cluster = Objects.requireNonNull(cluster, "cluster");
+        this.ledger = Objects.requireNonNull(ledger, "ledger");
+        this.inputs = Objects.requireNonNull(inputs, "inputs");
+        this.planner = Objects.requireNonNull(planner, "planner");
+        this.board = Objects.requireNonNull(board, "board");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+    }
+
+    /**
+     * Plans one round.
+     *
+     * @param runner tells which gangs are being started or stopped, not null
+     * @return the plan, never null
+     */
+    public Plan plan(GangRunner runner) {
+        Map<String, GangPlaced> starting = runner.starting();
+        Set<String> ending = new HashSet<>(runner.busy());
+        ending.removeAll(starting.keySet());
+        PlanInput input =
+                ledger.read(
+                        book ->
+                                inputs.build(
+                                        book,
+                                        cluster.workers(),
+                                        cluster.document(),
+                                        runner.backoffs(),
+                                        starting,
+                                        ending,
+                                        System.currentTimeMillis()));
+        Plan plan;
+        try (var ignored = metrics.timer("planner.round").time()) {
+            plan = planner.plan(input);
+        }
+        board.post(plan);
+        return plan;
+    }
+}
