--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoMain.java
@@ -0,0 +1,38 @@
+package org.fescueloom.standins.demo;
+
+import java.nio.file.Path;
+
+/** Runs the demonstration; ends with status 0 only if every answer and every job was right. */
+public final class DemoMain {
+    private static final int EXIT_WRONG = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private DemoMain() {}
+
+    /**
+     * Runs the demonstration.
+     *
+     * @param arguments the root of the checkout
+     */
+    public static void main(String[] arguments) {
+        if (arguments.length != 1) {
+            System.err.println("usage: DemoMain CHECKOUT");
+            System.exit(EXIT_USAGE);
+        }
+        Installation installation = Installation.of(Path.of(arguments[0]).toAbsolutePath());
+        DemoCluster cluster = new DemoCluster(installation);
+        Runtime.getRuntime().addShutdownHook(new Thread(cluster::close, "end-processes"));
+        Narrator narrator = new Narrator(System.out);
+        try (Callers callers = new Callers()) {
+            new Demo(installation, cluster, callers, narrator).run();
+        } catch (RuntimeException e) {
+            narrator.fail("the demonstration ended early: " + e.getMessage());
+        }
+        int processes = cluster.size();
+        cluster.close();
+        narrator.summary();
+        narrator.say("%d processes were ended by their ids", processes);
+        narrator.say("settings and logs are in %s", installation.directory());
+        System.exit(narrator.isRight() ? 0 : EXIT_WRONG);
+    }
+}
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoProcess.java
@@ -0,0 +1,111 @@
+package org.fescueloom.standins.demo;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Is one process of the demonstration, which says on its output where it listens. */
+final class DemoProcess {
+    private static final String LISTENING = "listening ";
+    private static final long POLL_MILLIS = 20;
+
+    private final String name;
+    private final Process process;
+    private final Path output;
+
+    private DemoProcess(String name, Process process, Path output) {
+        this.name = name;
+        this.process = process;
+        this.output = output;
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param name the name, which its output files get, not null
+     * @param directory where its output goes, not null
+     * @param command the program and its arguments, not null
+     * @return the process, never null
+     */
+    static DemoProcess start(String name, Path directory, List<String> command) {
+        Path output = directory.resolve(name + ".out");
+        try {
+            Process process =
+                    new ProcessBuilder(command)
+                            .redirectOutput(output.toFile())
+                            .redirectError(directory.resolve(name + ".log").toFile())
+                            .start();
+            return new DemoProcess(Objects.requireNonNull(name, "name"), process, output);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    String name() {
+        return name;
+    }
+
+    long id() {
+        return process.pid();
+    }
+
+    /**
+     * Waits until the process says where it listens.
+     *
+     * @param limit the longest wait, not null
+     * @return the "address:port", never null
+     * @throws DemoException if it ends or says nothing in time
+     */
+    String awaitAddress(Duration limit) {
+        long end = System.nanoTime() + limit.toNanos();
+        while (System.nanoTime() < end && process.isAlive()) {
+            Optional<String> address = address();
+            if (address.isPresent()) {
+                return address.get();
+            }
+            Pause.millis(POLL_MILLIS);
+        }
+        throw new DemoException(name + " did not start; see its log beside " + output);
+    }
+
+    private Optional<String> address() {
+        try {
+            return Files.readAllLines(output, StandardCharsets.UTF_8).stream()
+                    .filter(line -> line.startsWith(LISTENING))
+                    .map(line -> line.substring(LISTENING.length()).trim())
+                    .findFirst();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Asks the process to end. */
+    void terminate() {
+        process.destroy();
+    }
+
+    /**
+     * Waits for the end of the process and ends it by force after a limit.
+     *
+     * @param limit the longest wait, not null
+     * @return whether it ended by itself
+     */
+    boolean awaitEnd(Duration limit) {
+        try {
+            if (process.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS)) {
+                return true;
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        process.destroyForcibly();
+        return false;
+    }
+}
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The demonstration: a whole small system as separate processes, with its answers checked. */
+package org.fescueloom.standins.demo;
