Keep leases on agents chosen by rendezvous, and prove gangs under failure

Cause: entries kept every lease, so the loss of all entries for longer than a lease would have ended every gang; and nothing showed the job path's promises with real processes.

Ruled out: the full list of agents in every heartbeat (4 KB a second and agent at 300 agents); the gang's keepers in its placement record (they could not be replaced during an outage of the log).

Change: agents ask one entry in 1.5 s for the digest of the live agents, and get the list only when it changed; two keepers a gang, in different zones where there are several; entries keep only while fewer than two agents live. JobSystemTest runs entries and agents as processes and kills, pauses, freezes and cuts. It found a fault: a worker that answers a start but never runs the task left the other five of six members running to their end. GangStarter now asks every worker after the starts and gives up the gang at once.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStarter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStarter.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.gang.LeaseTerms;
@@ -17,9 +18,10 @@
 import org.fescueloom.job.RecordEffect;
 import org.fescueloom.wire.LeaseRequest;
 import org.fescueloom.wire.TaskRequest;
+import org.fescueloom.wire.WorkerReport;
 
 /**
- * Starts a gang in two steps: leases on all members, then the tasks.
+ * Starts a gang in two steps: leases on all members, then the tasks, and sees that all run.
  *
  * <p>Between the steps the placement is recorded in the log; only a placement that counts there is
  * started. Until the second step no task runs, and the leases lapse within {@link #START_LEASE}, so
@@ -74,6 +76,7 @@
                         .thenCompose(GangStarter::requireApplied)
                         .thenCompose(recorded -> zoneCheck.apply(gang))
                         .thenCompose(checked -> startAll(gang, spec))
+                        .thenCompose(answered -> confirmAll(gang))
                         .thenCompose(running -> renewAll(gang));
         return started.handle((done, error) -> error)
                 .thenCompose(
@@ -141,6 +144,32 @@
         return CompletableFuture.failedFuture(error);
     }
 
+    /** Asks every worker, for an answer to a start does not prove that the task runs. */
+    private CompletableFuture<Void> confirmAll(GangPlaced gang) {
+        Map<String, List<GangMember>> byAddress =
+                gang.members().stream().collect(Collectors.groupingBy(GangMember::address));
+        List<CompletableFuture<Void>> confirmations = new ArrayList<>();
+        byAddress.forEach(
+                (address, members) ->
+                        confirmations.add(
+                                workers.report(address)
+                                        .thenAccept(r -> members.forEach(m -> confirm(m, r)))));
+        return Futures.all(confirmations);
+    }
+
+    private static void confirm(GangMember member, WorkerReport report) {
+        boolean runs =
+                report.leases().stream()
+                        .filter(lease -> lease.lease().equals(member.lease()))
+                        .flatMap(lease -> lease.tasks().stream())
+                        .anyMatch(task -> task.task().equals(member.task()));
+        if (!runs) {
+            throw new SchedulerException(
+                    FailureType.GANG_START_INCOMPLETE,
+                    "task " + member.task() + " does not run on worker " + member.worker());
+        }
+    }
+
     private CompletableFuture<Void> renewAll(GangPlaced gang) {
         Map<String, List<String>> leases = new LinkedHashMap<>();
         for (GangMember member : gang.members()) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
@@ -103,7 +103,10 @@
                         new StreamListener<EpochBook>() {});
         daemon.add(new FollowerService(epochFollower));
         daemon.add(new JobRoutes(jobCluster, ledger, jobLog, reports, planners, metrics));
-        installKeeper(daemon, gang -> true);
+        KeeperListRoutes agents =
+                new KeeperListRoutes(() -> cluster.members().agents(Clocks.monotonicMillis()));
+        daemon.add(agents);
+        installKeeper(daemon, KeeperDuty.ofEntry(cluster.member(), agents::candidates));
         daemon.add(planner);
     }
 
@@ -113,7 +116,11 @@
      * @param daemon the daemon, not null
      */
     public void installAgent(Daemon daemon) {
-        installKeeper(daemon, gang -> true);
+        KeeperListFollower agents =
+                new KeeperListFollower(
+                        () -> cluster.directory().live(Clocks.monotonicMillis()), metrics);
+        daemon.add(agents);
+        installKeeper(daemon, KeeperDuty.ofAgent(cluster.member(), agents::candidates));
     }
 
     /**
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperListFollower.java
@@ -0,0 +1,102 @@
+package org.fescueloom.daemon.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.fescueloom.daemon.Service;
+import org.fescueloom.daemon.http.HttpAnswer;
+import org.fescueloom.daemon.http.HttpClient;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.wire.KeeperCandidate;
+import org.fescueloom.wire.KeeperList;
+
+/**
+ * Learns from the entries which agents are alive.
+ *
+ * <p>Each round asks one entry, chosen at random. Without any answer the last list holds.
+ */
+public final class KeeperListFollower implements Service {
+    private static final long INTERVAL_MILLIS = 1_500L;
+    private static final int MAX_CALLS = 2;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
+
+    private final ScheduledExecutorService executor =
+            Executors.newSingleThreadScheduledExecutor(KeeperListFollower::thread);
+    private final HttpClient http = new HttpClient(MAX_CALLS, CONNECT_TIMEOUT);
+    private final Supplier<Collection<String>> entries;
+    private final Metrics metrics;
+    private volatile KeeperList current = new KeeperList("", List.of());
+
+    /**
+     * Creates a follower that asks nobody yet.
+     *
+     * @param entries gives the addresses of the live entries, not null
+     * @param metrics counts failed questions, not null
+     */
+    public KeeperListFollower(Supplier<Collection<String>> entries, Metrics metrics) {
+        this.entries = Objects.requireNonNull(entries, "entries");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+    }
+
+    /**
+     * Returns the agents that were alive at the last answer.
+     *
+     * @return the agents in order of their names, empty before the first answer, never null
+     */
+    public List<KeeperCandidate> candidates() {
+        return current.candidates();
+    }
+
+    @Override
+    public void start(String address) {
+        executor.scheduleWithFixedDelay(this::ask, 0L, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+        http.close();
+    }
+
+    private void ask() {
+        List<String> known = new ArrayList<>(entries.get());
+        if (known.isEmpty()) {
+            return;
+        }
+        Collections.shuffle(known);
+        String path =
+                KeeperListRoutes.PATH + "?" + KeeperListRoutes.DIGEST + "=" + current.digest();
+        http.send(HttpClient.request("GET", known.get(0), path, null).build(), CALL_TIMEOUT)
+                .whenComplete(this::answered);
+    }
+
+    private void answered(HttpAnswer answer, Throwable error) {
+        if (error != null || !answer.isSuccess()) {
+            metrics.count("keeper.list-failures");
+            return;
+        }
+        try {
+            KeeperList list = answer.read(KeeperList.class);
+            if (list.candidates() != null) {
+                current = list;
+            }
+        } catch (SchedulerException e) {
+            metrics.count("keeper.list-failures");
+        }
+    }
+
+    private static Thread thread(Runnable task) {
+        Thread thread = new Thread(task, "keeper-list");
+        thread.setDaemon(true);
+        return thread;
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperListRoutes.java
@@ -0,0 +1,61 @@
+package org.fescueloom.daemon.jobs;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.fescueloom.daemon.Service;
+import org.fescueloom.daemon.http.HttpCall;
+import org.fescueloom.daemon.http.HttpReply;
+import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.member.Member;
+import org.fescueloom.member.MemberState;
+import org.fescueloom.wire.KeeperCandidate;
+import org.fescueloom.wire.KeeperList;
+
+/** Tells agents which agents are alive; the list itself only to those that have another one. */
+public final class KeeperListRoutes implements Service {
+    /** The path that gives the list. */
+    public static final String PATH = "/internal/keepers";
+
+    /** The query parameter with the digest of the list that the caller has. */
+    public static final String DIGEST = "digest";
+
+    private final Supplier<List<Member>> agents;
+
+    /**
+     * Creates the routes.
+     *
+     * @param agents lists the agents that have announced themselves, not null
+     */
+    public KeeperListRoutes(Supplier<List<Member>> agents) {
+        this.agents = Objects.requireNonNull(agents, "agents");
+    }
+
+    @Override
+    public void routes(HttpServer server) {
+        server.route("GET", PATH, this::list);
+    }
+
+    /**
+     * Lists the live agents that are not leaving.
+     *
+     * @return the agents in order of their names, never null
+     */
+    public List<KeeperCandidate> candidates() {
+        return agents.get().stream()
+                .filter(a -> a.state() == MemberState.ALIVE)
+                .map(a -> new KeeperCandidate(a.id(), a.announcement().zone()))
+                .sorted(Comparator.comparing(KeeperCandidate::member))
+                .toList();
+    }
+
+    private CompletableFuture<HttpReply> list(HttpCall call) {
+        List<KeeperCandidate> candidates = candidates();
+        String digest = Integer.toHexString(candidates.hashCode());
+        boolean known = call.query(DIGEST).filter(digest::equals).isPresent();
+        KeeperList list = new KeeperList(digest, known ? null : candidates);
+        return CompletableFuture.completedFuture(HttpReply.json(list));
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/JobSystemTest.java
@@ -0,0 +1,235 @@
+package org.fescueloom.daemon.jobs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.fescueloom.gang.LeaseTerms;
+import org.fescueloom.standins.Fault;
+import org.fescueloom.standins.FaultKind;
+import org.fescueloom.standins.Faults;
+import org.fescueloom.standins.worker.WorkerEvent;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Brings about the failures that the job path is meant for, with real processes. */
+class JobSystemTest {
+    private static final LeaseTerms TERMS = LeaseTerms.DEFAULT;
+
+    private JobTestBed bed;
+
+    @BeforeEach
+    void open() throws Exception {
+        bed = new JobTestBed(2, 3, 6);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        bed.close();
+    }
+
+    private List<WorkerEvent> starts(String job) {
+        return bed.events(job, WorkerEvent.Kind.TASK_STARTED);
+    }
+
+    private void assertRanOnce(String job, int tasks) {
+        assertThat(starts(job)).hasSize(tasks);
+        assertThat(starts(job))
+                .extracting(WorkerEvent::attempt)
+                .containsOnly(starts(job).get(0).attempt());
+        assertThat(bed.events(job, WorkerEvent.Kind.TASK_SUCCEEDED)).hasSize(tasks);
+    }
+
+    private void assertNoAcceleratorIsHeld() throws Exception {
+        JobTestBed.await(
+                "all leases returned",
+                () -> bed.workers.values().stream().allMatch(this::holdsNothing));
+    }
+
+    private boolean holdsNothing(org.fescueloom.standins.worker.WorkerStandIn worker) {
+        long granted = count(worker, WorkerEvent.Kind.LEASE_GRANTED);
+        long ended =
+                count(worker, WorkerEvent.Kind.LEASE_RELEASED)
+                        + count(worker, WorkerEvent.Kind.LEASE_LAPSED);
+        return granted <= ended;
+    }
+
+    private static long count(
+            org.fescueloom.standins.worker.WorkerStandIn worker, WorkerEvent.Kind kind) {
+        return worker.records().stream().filter(e -> e.kind() == kind).count();
+    }
+
+    @Nested
+    class Survival {
+        @Test
+        void gangOutlivesThePlannerAndEveryEntry() throws Exception {
+            bed.submit("long", JobTestBed.spec(4, 4, 25));
+            bed.awaitRunning("long", 4);
+            String planner = bed.planner();
+            bed.daemons.get(planner).kill();
+            bed.replaceEntry(planner, "entry-8");
+            String other = planner.equals("entry-0") ? "entry-1" : "entry-0";
+            bed.daemons.get(other).kill();
+            bed.replaceEntry(other, "entry-9");
+            bed.submit("next", JobTestBed.spec(1, 1, 1));
+            bed.awaitState("next", "succeeded");
+            bed.awaitState("long", "succeeded");
+            assertRanOnce("long", 4);
+            assertNoAcceleratorIsHeld();
+        }
+
+        @Test
+        void gangOutlivesAnOutageOfTheLogLongerThanItsLeases() throws Exception {
+            bed.submit("long", JobTestBed.spec(4, 4, 12));
+            bed.awaitRunning("long", 4);
+            bed.log.faults(Faults.of(Fault.always(FaultKind.CLOSE)));
+            Thread.sleep(3 * TERMS.ttlMillis());
+            bed.log.faults(Faults.NONE);
+            bed.awaitState("long", "succeeded");
+            assertRanOnce("long", 4);
+            assertNoAcceleratorIsHeld();
+        }
+
+        @Test
+        void gangOutlivesEachKeeperAlone() throws Exception {
+            bed.submit("long", JobTestBed.spec(4, 4, 15));
+            bed.awaitRunning("long", 4);
+            bed.daemons.get("agent-0").kill();
+            Thread.sleep(TERMS.ttlMillis());
+            bed.daemons.get("agent-1").kill();
+            bed.awaitState("long", "succeeded");
+            assertRanOnce("long", 4);
+        }
+    }
+
+    @Nested
+    class Gangs {
+        @Test
+        void memberWhoseStartIsLostLeavesNoPartRunning() throws Exception {
+            bed.workers
+                    .get("worker-1")
+                    .faults(Faults.of(Fault.always(FaultKind.LOSE_START).withTimes(1)));
+            bed.submit("gang", JobTestBed.spec(6, 4, 2));
+            bed.awaitState("gang", "succeeded");
+            assertPartialRunsAreShort("gang");
+            assertThat(bed.events("gang", WorkerEvent.Kind.TASK_SUCCEEDED)).hasSizeGreaterThan(5);
+        }
+
+        @Test
+        void frozenWorkerStopsTheWholeGangAndItRunsElsewhere() throws Exception {
+            bed.submit("gang", JobTestBed.spec(4, 4, 20));
+            bed.awaitRunning("gang", 4);
+            String worker = bed.job("gang").placement().get(0).worker();
+            long frozenAt = System.currentTimeMillis();
+            bed.workers.get(worker).faults(Faults.of(Fault.always(FaultKind.FREEZE)));
+            JobTestBed.await(
+                    "all members stopped",
+                    () -> bed.events("gang", WorkerEvent.Kind.TASK_STOPPED).size() >= 4);
+            long lastStop =
+                    bed.events("gang", WorkerEvent.Kind.TASK_STOPPED).stream()
+                            .mapToLong(WorkerEvent::timeMillis)
+                            .max()
+                            .orElseThrow();
+            assertThat(lastStop - frozenAt)
+                    .isLessThanOrEqualTo(
+                            TERMS.longestPartialMillis(0)
+                                    + TERMS.ttlMillis()
+                                    + 2 * TERMS.pollMillis());
+            bed.awaitState("gang", "succeeded");
+            assertThat(bed.job("gang").attempts()).isEqualTo(2);
+            assertThat(bed.events("gang", WorkerEvent.Kind.TASK_SUCCEEDED)).hasSize(4);
+        }
+
+        @Test
+        void pausedPlannerDoesNothingAfterAnotherTookOver() throws Exception {
+            String planner = bed.planner();
+            bed.daemons.get(planner).pause();
+            String address = bed.addresses.remove(planner);
+            for (int i = 0; i < 6; i++) {
+                bed.submit("job-" + i, JobTestBed.spec(2, 4, 3));
+            }
+            bed.awaitRunning("job-0", 2);
+            bed.daemons.get(planner).resume();
+            bed.addresses.put(planner, address);
+            for (int i = 0; i < 6; i++) {
+                bed.awaitState("job-" + i, "succeeded");
+                assertRanOnce("job-" + i, 2);
+            }
+        }
+
+        private void assertPartialRunsAreShort(String job) {
+            Map<String, List<WorkerEvent>> byAttempt =
+                    starts(job).stream()
+                            .collect(java.util.stream.Collectors.groupingBy(WorkerEvent::attempt));
+            for (Map.Entry<String, List<WorkerEvent>> attempt : byAttempt.entrySet()) {
+                if (attempt.getValue().size() == 6) {
+                    continue;
+                }
+                long first =
+                        attempt.getValue().stream()
+                                .mapToLong(WorkerEvent::timeMillis)
+                                .min()
+                                .orElseThrow();
+                List<WorkerEvent> stops =
+                        bed.events(job, WorkerEvent.Kind.TASK_STOPPED).stream()
+                                .filter(e -> e.attempt().equals(attempt.getKey()))
+                                .toList();
+                assertThat(stops).hasSameSizeAs(attempt.getValue());
+                assertThat(stops)
+                        .allMatch(e -> e.timeMillis() - first <= TERMS.longestPartialMillis(0));
+            }
+        }
+    }
+
+    @Nested
+    class Zones {
+        @Test
+        void nothingStartsInAZoneThatIsOutAndWorkComesBack() throws Exception {
+            bed.call("PUT", "/v1/zones/north-yard", Map.of("state", "out"));
+            long out = System.currentTimeMillis();
+            for (int i = 0; i < 8; i++) {
+                bed.submit("job-" + i, JobTestBed.spec(1, 4, 1));
+            }
+            for (int i = 0; i < 8; i++) {
+                bed.awaitState("job-" + i, "succeeded");
+            }
+            assertThat(startsIn("worker-1", out)).isEmpty();
+            assertThat(startsIn("worker-4", out)).isEmpty();
+            bed.call("PUT", "/v1/zones/north-yard", Map.of("state", "in"));
+            bed.submit("all", JobTestBed.spec(6, 4, 1));
+            bed.awaitState("all", "succeeded");
+            assertThat(startsIn("worker-1", out)).hasSize(1);
+        }
+
+        private List<WorkerEvent> startsIn(String worker, long sinceMillis) {
+            return bed.workers.get(worker).records().stream()
+                    .filter(e -> e.kind() == WorkerEvent.Kind.TASK_STARTED)
+                    .filter(e -> e.timeMillis() > sinceMillis)
+                    .toList();
+        }
+    }
+
+    @Nested
+    class Cancellations {
+        @Test
+        void wavesEndEveryJobAndReturnEveryLease() throws Exception {
+            List<String> jobs = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                jobs.add("wave-" + i);
+                bed.submit("wave-" + i, JobTestBed.spec(2, 2, 30));
+            }
+            for (String job : jobs) {
+                assertThat(bed.call("DELETE", "/v1/jobs/" + job, null).status()).isEqualTo(202);
+            }
+            for (String job : jobs) {
+                bed.awaitState(job, "cancelled");
+            }
+            assertNoAcceleratorIsHeld();
+            bed.submit("after", JobTestBed.spec(6, 4, 1));
+            bed.awaitState("after", "succeeded");
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/JobTestBed.java
@@ -0,0 +1,236 @@
+package org.fescueloom.daemon.jobs;
+
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Request;
+import org.fescueloom.config.Adjacency;
+import org.fescueloom.config.ConfigurationDocument;
+import org.fescueloom.config.CustomerPolicy;
+import org.fescueloom.config.ServiceClass;
+import org.fescueloom.config.Zone;
+import org.fescueloom.daemon.http.HttpAnswer;
+import org.fescueloom.daemon.http.HttpClient;
+import org.fescueloom.daemon.settings.Role;
+import org.fescueloom.daemon.settings.Settings;
+import org.fescueloom.job.JobSpec;
+import org.fescueloom.report.JobReport;
+import org.fescueloom.standins.ListenAddress;
+import org.fescueloom.standins.log.LogStandIn;
+import org.fescueloom.standins.worker.WorkerEvent;
+import org.fescueloom.standins.worker.WorkerIdentity;
+import org.fescueloom.standins.worker.WorkerStandIn;
+import org.fescueloom.wire.WorkerCapacity;
+
+/** Runs entries and agents as processes against a log and workers in the process of the test. */
+final class JobTestBed implements AutoCloseable {
+    static final List<String> ZONES = List.of("harbor-shed", "north-yard", "mill-floor");
+    private static final int ACCELERATORS = 4;
+    private static final int RETAIN = 100_000;
+    private static final int APPENDS_PER_SECOND = 400;
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(10);
+    private static final long AWAIT_SECONDS = 60;
+
+    final LogStandIn log = new LogStandIn(ListenAddress.ANY, RETAIN, APPENDS_PER_SECOND);
+    final Map<String, WorkerStandIn> workers = new LinkedHashMap<>();
+    final Map<String, DaemonProcess> daemons = new LinkedHashMap<>();
+    final Map<String, String> addresses = new LinkedHashMap<>();
+    private final HttpClient http = new HttpClient(16, Duration.ofSeconds(2));
+    private final List<String> entrySeeds = new ArrayList<>();
+
+    JobTestBed(int entries, int agents, int workerCount) throws Exception {
+        log.start();
+        for (int i = 0; i < entries; i++) {
+            entrySeeds.add("127.0.0.1:" + freePort());
+        }
+        for (int i = 0; i < entries; i++) {
+            daemon(Role.ENTRY, "entry-" + i, ZONES.get(i % ZONES.size()), entrySeeds.get(i));
+        }
+        for (int i = 0; i < agents; i++) {
+            daemon(Role.AGENT, "agent-" + i, ZONES.get(i % ZONES.size()), "127.0.0.1:0");
+        }
+        for (int i = 0; i < workerCount; i++) {
+            worker("worker-" + i, ZONES.get(i % ZONES.size()), i);
+        }
+        for (Map.Entry<String, DaemonProcess> daemon : daemons.entrySet()) {
+            addresses.put(daemon.getKey(), daemon.getValue().awaitAddress());
+        }
+        publish();
+        await("all workers known", () -> workersKnown() == workerCount);
+    }
+
+    void daemon(Role role, String member, String zone, String listen) throws Exception {
+        Settings settings =
+                new Settings(
+                        role,
+                        member,
+                        zone,
+                        listen,
+                        null,
+                        entrySeeds,
+                        List.of(log.address()),
+                        null,
+                        null);
+        daemons.put(member, DaemonProcess.start(settings));
+    }
+
+    /** Starts a fresh entry at the address of a former one, under another name. */
+    void replaceEntry(String former, String member) throws Exception {
+        daemon(Role.ENTRY, member, ZONES.get(0), addresses.get(former));
+        addresses.put(member, daemons.get(member).awaitAddress());
+        addresses.remove(former);
+        daemons.remove(former);
+    }
+
+    private void worker(String id, String zone, int position) {
+        WorkerCapacity capacity =
+                new WorkerCapacity(zone + "-r1", position / 3, ACCELERATORS, 16, 65_536);
+        WorkerStandIn worker =
+                new WorkerStandIn(
+                        ListenAddress.ANY, new WorkerIdentity(id, zone, capacity), entrySeeds);
+        worker.start();
+        workers.put(id, worker);
+    }
+
+    static JobSpec spec(int tasks, int accelerators, long seconds) {
+        return new JobSpec(
+                "parks",
+                "pattern",
+                tasks,
+                accelerators,
+                Adjacency.NONE,
+                1,
+                64,
+                seconds,
+                true,
+                false,
+                "weave");
+    }
+
+    private void publish() throws Exception {
+        ConfigurationDocument document =
+                new ConfigurationDocument(
+                        List.of(new ServiceClass("pattern", 10_000, 0, 1_024)),
+                        List.of(new CustomerPolicy("parks", 0.5, null)),
+                        ZONES.stream().map(z -> new Zone(z, null, null, null)).toList());
+        await(
+                "configuration published",
+                () ->
+                        send(HttpClient.request("PUT", anyEntry(), "/v1/config", document)
+                                                .header("If-Match", "\"-1\"")
+                                                .build())
+                                        .status()
+                                != 503);
+        await("configuration in force", () -> call("GET", "/v1/config", null).body().length > 60);
+    }
+
+    private int workersKnown() throws Exception {
+        int least = Integer.MAX_VALUE;
+        for (String entry : entries()) {
+            Request request = HttpClient.request("GET", entry, "/v1/workers", null).build();
+            String text = new String(send(request).body());
+            least = Math.min(least, text.split("\"state\":\"usable\"", -1).length - 1);
+        }
+        return least;
+    }
+
+    List<String> entries() {
+        return addresses.entrySet().stream()
+                .filter(e -> e.getKey().startsWith("entry"))
+                .map(Map.Entry::getValue)
+                .toList();
+    }
+
+    String anyEntry() {
+        return entries().get(0);
+    }
+
+    HttpAnswer call(String method, String path, Object body) throws Exception {
+        HttpAnswer last = null;
+        for (String entry : entries()) {
+            try {
+                last = send(HttpClient.request(method, entry, path, body).build());
+                if (last.status() < 500) {
+                    return last;
+                }
+            } catch (java.util.concurrent.ExecutionException e) {
+                continue;
+            }
+        }
+        if (last == null) {
+            throw new java.io.IOException("no entry answers");
+        }
+        return last;
+    }
+
+    private HttpAnswer send(Request request) throws Exception {
+        return http.send(request, CALL_TIMEOUT).get(15, TimeUnit.SECONDS);
+    }
+
+    void submit(String job, JobSpec spec) throws Exception {
+        await("accepted " + job, () -> call("PUT", "/v1/jobs/" + job, spec).status() < 300);
+    }
+
+    JobReport job(String job) throws Exception {
+        return call("GET", "/v1/jobs/" + job, null).read(JobReport.class);
+    }
+
+    void awaitState(String job, String state) throws Exception {
+        await(job + " is " + state, () -> job(job).state().equals(state));
+    }
+
+    void awaitRunning(String job, int tasks) throws Exception {
+        await(job + " runs", () -> events(job, WorkerEvent.Kind.TASK_STARTED).size() >= tasks);
+    }
+
+    String planner() throws Exception {
+        return call("GET", "/v1/status", null)
+                .read(org.fescueloom.report.StatusReport.class)
+                .planner();
+    }
+
+    List<WorkerEvent> events(String job, WorkerEvent.Kind kind) {
+        return workers.values().stream()
+                .flatMap(w -> w.records().stream())
+                .filter(e -> job.equals(e.job()) && e.kind() == kind)
+                .toList();
+    }
+
+    static void await(String what, Callable<Boolean> condition) throws Exception {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(AWAIT_SECONDS);
+        Exception last = null;
+        while (System.nanoTime() < deadline) {
+            try {
+                if (condition.call()) {
+                    return;
+                }
+                last = null;
+            } catch (Exception e) {
+                last = e;
+            }
+            Thread.sleep(100);
+        }
+        throw new AssertionError("not in time: " + what, last);
+    }
+
+    private static int freePort() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (DaemonProcess daemon : daemons.values()) {
+            daemon.close();
+        }
+        workers.values().forEach(WorkerStandIn::close);
+        log.close();
+        http.close();
+    }
+}
