Send replies from other event loops at once and take every body as it is

Ruled out: a leading space before the content type (Netty's header check refuses it). Change: replies that would be sent on the connection's own loop later go through the worker threads; a small handler hides the content type from Jooby; the buffer holds the largest body; 100-continue is answered; response types are sent as given, without an added charset.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -3,7 +3,6 @@
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
-import io.jooby.MediaType;
 import io.jooby.Server;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
@@ -50,6 +49,8 @@
         options.setIoThreads(IO_THREADS);
         options.setWorkerThreads(WORKER_THREADS);
         options.setMaxRequestSize(maxBodyBytes);
+        options.setBufferSize(maxBodyBytes + 1);
+        options.setExpectContinue(true);
         options.setDefaultHeaders(false);
         app.setExecutionMode(ExecutionMode.EVENT_LOOP);
         app.error(HttpServer::sendError);
@@ -69,7 +70,9 @@
 
     /** Starts to listen. */
     public void start() {
-        server = new NettyServer().setOptions(options).start(app);
+        NettyServer netty = new NettyServer().setOptions(options);
+        server = netty.start(app);
+        RawBodies.install(netty);
     }
 
     /**
@@ -96,10 +99,23 @@
         } catch (RuntimeException e) {
             reply = CompletableFuture.failedFuture(e);
         }
-        reply.whenComplete((value, error) -> send(context, value, error));
+        if (reply.isDone()) {
+            reply.whenComplete((value, error) -> send(context, value, error));
+        } else {
+            reply.whenComplete((value, error) -> sendLater(context, value, error));
+        }
         return context;
     }
 
+    /** Sends from outside the connection's event loop: the library flushes only such replies. */
+    private static void sendLater(Context context, HttpReply reply, Throwable error) {
+        if (context.isInIoThread()) {
+            context.getRouter().getWorker().execute(() -> send(context, reply, error));
+        } else {
+            send(context, reply, error);
+        }
+    }
+
     private static void send(Context context, HttpReply reply, Throwable error) {
         try {
             write(context, error == null ? reply : HttpReply.failure(asFailure(error)));
@@ -126,7 +142,7 @@
 
     private static void write(Context context, HttpReply reply) {
         context.setResponseCode(reply.status());
-        context.setResponseType(MediaType.valueOf(reply.contentType()));
+        context.setResponseType(reply.contentType());
         reply.headers().forEach(context::setResponseHeader);
         context.send(reply.body());
     }
