Add the process harness, the relay that goes silent and the load tool

Change: LocalDeployment starts log, entries, agents and upstreams as JVMs of this class path; SilentRelay; LoadGenerator with open-loop arrivals and HdrHistogram; program load.

--- a/fescueloom-standins/src/main/java/org/fescueloom/standins/Program.java
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/Program.java
@@ -1,5 +1,6 @@
 package org.fescueloom.standins;
 
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Arrays;
@@ -10,6 +11,11 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.fescueloom.json.Json;
+import org.fescueloom.standins.load.LoadGenerator;
+import org.fescueloom.standins.load.LoadPlan;
+import org.fescueloom.standins.load.LoadResult;
+import org.fescueloom.standins.load.Routing;
 import org.fescueloom.standins.log.LogStandIn;
 import org.fescueloom.standins.upstream.UpstreamProfile;
 import org.fescueloom.standins.upstream.UpstreamStandIn;
@@ -83,8 +89,41 @@
             Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(upstream)));
             ready(upstream.address());
         }
+    },
+    /** The load tool; it ends after its run. */
+    LOAD(
+            "targets",
+            "routing",
+            "class",
+            "customers",
+            "count",
+            "rate",
+            "max-body",
+            "target-millis",
+            "slots",
+            "seed") {
+        @Override
+        void start(ProgramOptions options) {
+            Routing routing =
+                    Routing.valueOf(
+                            options.text("routing").toUpperCase(Locale.ROOT).replace('-', '_'));
+            LoadPlan plan =
+                    new LoadPlan(
+                            options.list("targets"),
+                            routing,
+                            options.text("class"),
+                            options.list("customers"),
+                            options.number("count", DEFAULT_COUNT),
+                            options.decimal("rate", 0.0),
+                            options.number("max-body", 0),
+                            options.number("target-millis", DEFAULT_TARGET_MILLIS),
+                            options.number("seed", 1));
+            report(plan, options.number("slots", UpstreamProfile.DEFAULT_SLOTS));
+        }
     };
 
+    private static final int DEFAULT_COUNT = 1_000;
+    private static final int DEFAULT_TARGET_MILLIS = 1_000;
     private static final int DEFAULT_RETAIN = 100_000;
     private static final int DEFAULT_APPENDS_PER_SECOND = 400;
     private static final int DEFAULT_ACCELERATORS = 8;
@@ -158,6 +197,17 @@
         System.out.flush();
     }
 
+    private static void report(LoadPlan plan, int slots) {
+        try {
+            LoadResult result = new LoadGenerator(plan, slots).run();
+            System.out.println(new String(Json.write(result), StandardCharsets.UTF_8));
+            System.out.println(LoadResult.tableHead());
+            System.out.println(result.tableLine(plan.routing().name()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void leave(UpstreamStandIn upstream) {
         try {
             upstream.leave(DRAIN_LIMIT);
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/harness/LocalDeployment.java
@@ -0,0 +1,294 @@
+package org.fescueloom.standins.harness;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.fescueloom.config.ConfigurationDocument;
+import org.fescueloom.json.Json;
+import org.fescueloom.standins.Faults;
+import org.fescueloom.standins.StandInMain;
+import org.fescueloom.standins.StandInReply;
+import org.fescueloom.standins.upstream.UpstreamRecords;
+
+/** Runs a log service, entries, and agents with their upstreams as processes on loopback. */
+public final class LocalDeployment implements AutoCloseable {
+    private static final String DAEMON = "org.fescueloom.daemon.DaemonMain";
+    private static final List<String> SMALL_HEAP =
+            List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    private static final MediaType JSON = MediaType.get(StandInReply.JSON);
+    private static final Duration CALL_LIMIT = Duration.ofSeconds(30L);
+    private static final long POLL_MILLIS = 100L;
+
+    private final ProcessHarness harness;
+    private final List<String> daemonOptions;
+    private final OkHttpClient client = new OkHttpClient.Builder().callTimeout(CALL_LIMIT).build();
+    private final List<ManagedProcess> entries = new ArrayList<>();
+    private final List<ManagedProcess> agents = new ArrayList<>();
+    private final List<ManagedProcess> upstreams = new ArrayList<>();
+    private final Map<String, Path> settings = new HashMap<>();
+    private ManagedProcess log;
+
+    /**
+     * Creates a deployment without processes.
+     *
+     * @param directory where output and settings go, not null
+     * @param daemonOptions the options of the JVMs of the daemons, not null
+     */
+    public LocalDeployment(Path directory, List<String> daemonOptions) {
+        harness = new ProcessHarness(directory);
+        this.daemonOptions = List.copyOf(daemonOptions);
+    }
+
+    /**
+     * Starts the log service and the entries.
+     *
+     * @param zones the availability zone of each entry, not null
+     */
+    public void startEntries(List<String> zones) {
+        log = standIn("log", List.of("log"));
+        List<String> addresses = zones.stream().map(z -> freeAddress()).toList();
+        for (int i = 0; i < zones.size(); i++) {
+            String name = "entry-" + i;
+            writeSettings(name, "entry", zones.get(i), addresses.get(i), addresses);
+            entries.add(daemon(name));
+        }
+    }
+
+    /**
+     * Starts an agent and the upstream beside it.
+     *
+     * @param id the identifier of the upstream, not null
+     * @param zone its availability zone, not null
+     * @param options further options of the upstream stand-in, not null
+     */
+    public void startUpstream(String id, String zone, String... options) {
+        String name = "agent-" + id;
+        String address = freeAddress();
+        writeSettings(name, "agent", zone, address, entryAddresses());
+        ManagedProcess agent = daemon(name);
+        agents.add(agent);
+        List<String> arguments = new ArrayList<>();
+        arguments.addAll(List.of("upstream", "--upstream", id, "--agent", address));
+        arguments.addAll(List.of(options));
+        upstreams.add(standIn(id, arguments));
+    }
+
+    /**
+     * Starts the agent of an upstream again, with its former settings.
+     *
+     * @param index the place of the agent
+     */
+    public void restartAgent(int index) {
+        agents.set(index, daemon(agents.get(index).name()));
+    }
+
+    /**
+     * Publishes a configuration through the first entry.
+     *
+     * @param document the document, not null
+     */
+    public void publish(ConfigurationDocument document) {
+        long end = System.nanoTime() + CALL_LIMIT.toNanos();
+        while (!tryPublish(document)) {
+            if (System.nanoTime() > end) {
+                throw new IllegalStateException("the configuration was not accepted");
+            }
+            pause();
+        }
+    }
+
+    /**
+     * Waits until an entry lists a number of upstreams.
+     *
+     * @param count how many, at least
+     */
+    public void awaitUpstreams(int count) {
+        long end = System.nanoTime() + CALL_LIMIT.toNanos();
+        while (entries.stream().anyMatch(e -> upstreamCount(e) < count)) {
+            if (System.nanoTime() > end) {
+                throw new IllegalStateException("too few upstreams have announced themselves");
+            }
+            pause();
+        }
+    }
+
+    /**
+     * Replaces the faults of a stand-in.
+     *
+     * @param process the process of the stand-in, not null
+     * @param faults the faults, not null
+     */
+    public void faults(ManagedProcess process, Faults faults) {
+        call("PUT", process.address(), "/faults", Json.write(faults), Map.of());
+    }
+
+    /**
+     * Reads what an upstream really did.
+     *
+     * @param index the place of the upstream
+     * @return its records, never null
+     */
+    public UpstreamRecords records(int index) {
+        return Json.read(get(upstreams.get(index), "/records"), UpstreamRecords.class);
+    }
+
+    /**
+     * Reads a path of a process.
+     *
+     * @param process the process, not null
+     * @param path the path, not null
+     * @return the body, never null
+     */
+    public byte[] get(ManagedProcess process, String path) {
+        return call("GET", process.address(), path, null, Map.of()).body();
+    }
+
+    /**
+     * Sends an operator's call to the first entry.
+     *
+     * @param method the HTTP method, not null
+     * @param path the path, not null
+     * @param body the value to send as JSON, not null
+     * @return the status
+     */
+    public int operate(String method, String path, Object body) {
+        return call(method, entries.get(0).address(), path, Json.write(body), Map.of()).status();
+    }
+
+    /**
+     * Returns the process of the log service.
+     *
+     * @return the process, null before the start
+     */
+    public ManagedProcess log() {
+        return log;
+    }
+
+    /**
+     * Returns the entries.
+     *
+     * @return the processes in order of their start, never null
+     */
+    public List<ManagedProcess> entries() {
+        return List.copyOf(entries);
+    }
+
+    /**
+     * Returns the agents.
+     *
+     * @return the processes in order of their start, never null
+     */
+    public List<ManagedProcess> agents() {
+        return List.copyOf(agents);
+    }
+
+    /**
+     * Returns the upstreams.
+     *
+     * @return the processes in order of their start, never null
+     */
+    public List<ManagedProcess> upstreams() {
+        return List.copyOf(upstreams);
+    }
+
+    /**
+     * Returns where the entries listen.
+     *
+     * @return the addresses, never null
+     */
+    public List<String> entryAddresses() {
+        return entries.stream().map(ManagedProcess::address).toList();
+    }
+
+    @Override
+    public void close() {
+        harness.close();
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+
+    private boolean tryPublish(ConfigurationDocument document) {
+        String entry = entries.get(0).address();
+        Reply current = call("GET", entry, "/v1/config", null, Map.of());
+        String version = current.etag() == null ? "\"-1\"" : current.etag();
+        byte[] body = Json.write(document);
+        int status = call("PUT", entry, "/v1/config", body, Map.of("If-Match", version)).status();
+        return status == 200;
+    }
+
+    private int upstreamCount(ManagedProcess entry) {
+        String text = new String(get(entry, "/v1/upstreams"));
+        return (int) upstreams.stream().filter(u -> text.contains("\"" + u.name() + "\"")).count();
+    }
+
+    private Reply call(
+            String method, String address, String path, byte[] body, Map<String, String> headers) {
+        RequestBody content = body == null ? null : RequestBody.create(body, JSON);
+        Request.Builder request =
+                new Request.Builder().url("http://" + address + path).method(method, content);
+        headers.forEach(request::header);
+        try (Response response = client.newCall(request.build()).execute()) {
+            return new Reply(response.code(), response.header("ETag"), response.body().bytes());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private ManagedProcess standIn(String name, List<String> arguments) {
+        return harness.start(name, StandInMain.class.getName(), SMALL_HEAP, arguments);
+    }
+
+    private ManagedProcess daemon(String name) {
+        List<String> arguments = List.of("--config", settings.get(name).toString());
+        return harness.start(name, DAEMON, daemonOptions, arguments);
+    }
+
+    private void writeSettings(
+            String name, String role, String zone, String listen, List<String> known) {
+        Map<String, Object> document = new HashMap<>();
+        document.put("role", role);
+        document.put("member", name);
+        document.put("zone", zone);
+        document.put("listen", listen);
+        document.put("entries", known);
+        document.put("logService", List.of(log.address()));
+        Path file = harness.directory().resolve(name + ".json");
+        try {
+            Files.write(file, Json.write(document));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        settings.put(name, file);
+    }
+
+    private static String freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private record Reply(int status, String etag, byte[] body) {}
+}
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/harness/ManagedProcess.java
@@ -0,0 +1,155 @@
+package org.fescueloom.standins.harness;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Holds one process that a test has started. */
+public final class ManagedProcess {
+    private static final String READY = "listening ";
+    private static final long POLL_MILLIS = 20L;
+
+    private final String name;
+    private final Process process;
+    private final Path output;
+    private String address = "";
+
+    ManagedProcess(String name, Process process, Path output) {
+        this.name = name;
+        this.process = process;
+        this.output = output;
+    }
+
+    /**
+     * Returns the name that the test gave this process.
+     *
+     * @return the name, never null
+     */
+    public String name() {
+        return name;
+    }
+
+    /**
+     * Returns where this process listens.
+     *
+     * @return the address as "address:port"; empty before it was ready
+     */
+    public String address() {
+        return address;
+    }
+
+    /**
+     * Tells whether this process has not ended.
+     *
+     * @return true while it runs or is paused
+     */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /**
+     * Waits until this process listens.
+     *
+     * @param limit the longest wait, not null
+     * @throws IllegalStateException if it ends or does not listen in time
+     */
+    public void awaitReady(Duration limit) {
+        long end = System.nanoTime() + limit.toNanos();
+        Optional<String> line = readyLine();
+        while (line.isEmpty()) {
+            if (!process.isAlive() || System.nanoTime() > end) {
+                throw new IllegalStateException(name + " is not ready; see " + output);
+            }
+            sleep();
+            line = readyLine();
+        }
+        address = line.get().substring(READY.length());
+    }
+
+    /**
+     * Sends a signal to this process.
+     *
+     * @param signal the signal, not null
+     */
+    public void send(Signal signal) {
+        try {
+            new ProcessBuilder("kill", "-" + signal.name(), Long.toString(process.pid()))
+                    .inheritIO()
+                    .start()
+                    .waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Waits for the end of this process.
+     *
+     * @param limit the longest wait, not null
+     * @return whether it ended in time
+     */
+    public boolean awaitExit(Duration limit) {
+        try {
+            return process.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Ends this process at once and waits until it is gone. */
+    public void kill() {
+        send(Signal.KILL);
+        process.destroyForcibly().onExit().join();
+    }
+
+    /**
+     * Reads the resident memory of this process.
+     *
+     * @return the memory, in kibibytes; 0 if it has ended
+     */
+    public long residentKib() {
+        try {
+            return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                    .filter(l -> l.startsWith("VmRSS:"))
+                    .mapToLong(l -> Long.parseLong(l.replaceAll("[^0-9]", "")))
+                    .findFirst()
+                    .orElse(0L);
+        } catch (IOException e) {
+            return 0L;
+        }
+    }
+
+    /**
+     * Reads the processor time that this process has used.
+     *
+     * @return the time, in milliseconds; 0 if it has ended
+     */
+    public long cpuMillis() {
+        return process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+    }
+
+    private Optional<String> readyLine() {
+        try {
+            List<String> lines = Files.readAllLines(output);
+            return lines.stream().filter(l -> l.startsWith(READY)).findFirst();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static void sleep() {
+        try {
+            Thread.sleep(POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/harness/SilentRelay.java
@@ -0,0 +1,143 @@
+package org.fescueloom.standins.harness;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.fescueloom.standins.ListenAddress;
+
+/**
+ * Relays TCP connections, and can make the open ones go silent for good while new ones work.
+ *
+ * <p>A silent connection stays open at both ends; what either end sends is taken and dropped.
+ */
+public final class SilentRelay implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1024;
+
+    private final ServerSocket listener;
+    private final ListenAddress target;
+    private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+
+    /**
+     * Creates a relay and lets it listen on a free port of loopback.
+     *
+     * @param target where connections are relayed to, not null
+     * @throws IOException if it cannot listen
+     */
+    public SilentRelay(ListenAddress target) throws IOException {
+        this.target = target;
+        listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+        run("relay-accept", this::accept);
+    }
+
+    /**
+     * Returns where this relay listens.
+     *
+     * @return the address as "address:port", never null
+     */
+    public String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /** Makes all open connections go silent for good. */
+    public void silence() {
+        connections.forEach(c -> c.silent = true);
+    }
+
+    /** Cuts all open connections. */
+    public void cut() {
+        connections.forEach(Connection::close);
+    }
+
+    @Override
+    public void close() {
+        closeQuietly(listener);
+        cut();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                open(listener.accept());
+            } catch (IOException e) {
+                if (listener.isClosed()) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private void open(Socket near) {
+        Socket far = new Socket();
+        try {
+            far.connect(new InetSocketAddress(target.host(), target.port()));
+            near.setTcpNoDelay(true);
+            far.setTcpNoDelay(true);
+            Connection connection = new Connection(near, far);
+            connections.add(connection);
+            run("relay-out", () -> connection.pump(near, far));
+            run("relay-in", () -> connection.pump(far, near));
+        } catch (IOException e) {
+            closeQuietly(near);
+            closeQuietly(far);
+        }
+    }
+
+    private static void run(String name, Runnable work) {
+        Thread thread = new Thread(work, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void closeQuietly(AutoCloseable socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private final class Connection {
+        private final Socket near;
+        private final Socket far;
+        private volatile boolean silent;
+
+        Connection(Socket near, Socket far) {
+            this.near = near;
+            this.far = far;
+        }
+
+        void pump(Socket from, Socket to) {
+            byte[] buffer = new byte[BUFFER_BYTES];
+            try {
+                InputStream in = from.getInputStream();
+                OutputStream out = to.getOutputStream();
+                for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                    if (!silent) {
+                        out.write(buffer, 0, n);
+                    }
+                }
+            } catch (IOException ignored) {
+                // the other direction closes both sockets
+            } finally {
+                if (!silent) {
+                    close();
+                }
+            }
+        }
+
+        void close() {
+            connections.remove(this);
+            closeQuietly(near);
+            closeQuietly(far);
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/harness/package-info.java
@@ -0,0 +1,2 @@
+/** Starts processes for tests, sends them signals, and breaks the connections between them. */
+package org.fescueloom.standins.harness;
