--- a/fescueloom-core/src/main/java/org/fescueloom/placement/AcceleratorSets.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/AcceleratorSets.java
@@ -69,7 +69,8 @@
         return score;
     }
 
-    private static long lowest(long set, int count) {
+    /** Returns the lowest places of a set, at most as many as it has. */
+    static long lowest(long set, int count) {
         long chosen = 0L;
         long rest = set;
         for (int i = 0; i < count; i++) {
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/BlockClaimer.java
@@ -0,0 +1,183 @@
+package org.fescueloom.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.fescueloom.job.BlockClaim;
+import org.fescueloom.job.JobSpec;
+
+/**
+ * Charges gangs to the guaranteed blocks of their customers.
+ *
+ * <p>A gang that one block covers is charged to one block, the one with the least left over, so
+ * that other blocks stay whole for gangs of their shape. A larger gang is charged to several.
+ */
+final class BlockClaimer {
+    private static final int MAX_BLOCKS_TRIED = 4;
+
+    private final Topology topology;
+    private final GuaranteeState state;
+
+    BlockClaimer(Topology topology, GuaranteeState state) {
+        this.topology = topology;
+        this.state = state;
+    }
+
+    /**
+     * Charges a gang to its customer's blocks if the invariant holds afterwards.
+     *
+     * @param spec the gang, not null
+     * @param members where its tasks go, not null
+     * @return the claims, or empty if the customer's blocks do not cover the gang or the rest could
+     *     not be laid out; nothing is charged then
+     */
+    Optional<List<BlockClaim>> claim(JobSpec spec, List<TaskPlacement> members) {
+        Map<Integer, Integer> needs = new TreeMap<>();
+        for (TaskPlacement member : members) {
+            int worker = topology.indexOf(member.worker());
+            needs.merge(worker, state.share(spec, worker), Integer::sum);
+        }
+        List<BlockUse> covering = covering(spec);
+        if (covering.isEmpty()) {
+            return claimSeveral(spec.customer(), needs);
+        }
+        for (BlockUse use : covering) {
+            if (keeps(use, needs)) {
+                return Optional.of(claimKept(use, needs));
+            }
+        }
+        for (BlockUse use : covering) {
+            Optional<List<BlockClaim>> claims = claimOne(use, needs);
+            if (claims.isPresent()) {
+                return claims;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns blocks of a gang's customer that cover the whole gang; only those that it uses up, if
+     * there are any.
+     *
+     * @param spec the gang, not null
+     * @return some blocks of different kinds, the best first
+     */
+    List<BlockUse> covering(JobSpec spec) {
+        int total = spec.tasks() * spec.acceleratorsPerTask();
+        List<BlockUse> found = new ArrayList<>();
+        boolean exact = false;
+        for (BlockUse use : state.blocksOf(spec.customer())) {
+            if (use.unclaimed() >= total) {
+                found.add(use);
+                exact |= isExact(use, spec, total);
+            }
+        }
+        if (exact) {
+            found.removeIf(use -> !isExact(use, spec, total));
+        }
+        found.sort(
+                Comparator.comparing(
+                                (BlockUse use) ->
+                                        use.block().adjacency().compareTo(spec.adjacency()) > 0)
+                        .thenComparing(BlockUse::isUnclaimed)
+                        .thenComparingInt(BlockUse::unclaimed)
+                        .thenComparing(
+                                Comparator.comparing((BlockUse u) -> u.block().adjacency())
+                                        .reversed()));
+        Set<LayoutItem> kinds = new HashSet<>();
+        found.removeIf(use -> !kinds.add(use.kind()));
+        return found.subList(0, Math.min(MAX_BLOCKS_TRIED, found.size()));
+    }
+
+    private static boolean isExact(BlockUse use, JobSpec spec, int total) {
+        boolean tightEnough = use.block().adjacency().compareTo(spec.adjacency()) <= 0;
+        return use.unclaimed() == total && tightEnough;
+    }
+
+    private boolean keeps(BlockUse use, Map<Integer, Integer> needs) {
+        Map<Integer, Integer> place = state.layout().places().getOrDefault(use.block(), Map.of());
+        return needs.entrySet().stream()
+                .allMatch(need -> place.getOrDefault(need.getKey(), 0) >= need.getValue());
+    }
+
+    /** Claims what the layout keeps on the same workers; what is left of the layout stays valid. */
+    private List<BlockClaim> claimKept(BlockUse use, Map<Integer, Integer> needs) {
+        Layout before = state.layout();
+        Map<GuaranteedBlock, Map<Integer, Integer>> places = new HashMap<>(before.places());
+        Map<Integer, Integer> rest = new HashMap<>(places.get(use.block()));
+        List<BlockClaim> claims = new ArrayList<>();
+        needs.forEach(
+                (worker, need) -> {
+                    rest.merge(worker, -need, Integer::sum);
+                    claims.add(state.use(use, worker, need));
+                });
+        places.put(use.block(), rest);
+        state.restore(new Layout(places, before.missing()));
+        return claims;
+    }
+
+    private Optional<List<BlockClaim>> claimOne(BlockUse use, Map<Integer, Integer> needs) {
+        Layout before = state.layout();
+        List<BlockClaim> claims = new ArrayList<>();
+        boolean covered = true;
+        for (Map.Entry<Integer, Integer> need : needs.entrySet()) {
+            covered =
+                    covered
+                            && use.unclaimed() >= need.getValue()
+                            && use.mayLieOn(topology, need.getKey());
+            if (covered) {
+                claims.add(state.use(use, need.getKey(), need.getValue()));
+            }
+        }
+        return confirm(use.block().customer(), claims, covered, before);
+    }
+
+    private Optional<List<BlockClaim>> claimSeveral(String customer, Map<Integer, Integer> needs) {
+        Layout before = state.layout();
+        List<BlockClaim> claims = new ArrayList<>();
+        boolean covered = true;
+        for (Map.Entry<Integer, Integer> need : needs.entrySet()) {
+            int open = need.getValue();
+            while (covered && open > 0) {
+                BlockUse best = bestBlock(customer, need.getKey(), open);
+                covered = best != null;
+                if (covered) {
+                    int part = Math.min(open, best.unclaimed());
+                    claims.add(state.use(best, need.getKey(), part));
+                    open -= part;
+                }
+            }
+        }
+        return confirm(customer, claims, covered, before);
+    }
+
+    private Optional<List<BlockClaim>> confirm(
+            String customer, List<BlockClaim> claims, boolean covered, Layout before) {
+        if (covered && state.layout().missingAccelerators() <= before.missingAccelerators()) {
+            return Optional.of(claims);
+        }
+        state.free(customer, claims);
+        state.restore(before);
+        return Optional.empty();
+    }
+
+    private BlockUse bestBlock(String customer, int worker, int need) {
+        Comparator<BlockUse> order =
+                Comparator.comparing((BlockUse use) -> use.unclaimed() < need)
+                        .thenComparing(use -> !state.keepsOn(use, worker))
+                        .thenComparing(BlockUse::isUnclaimed)
+                        .thenComparing(use -> use.block().adjacency())
+                        .thenComparingInt(
+                                use -> use.unclaimed() < need ? -use.unclaimed() : use.unclaimed());
+        return state.blocksOf(customer).stream()
+                .filter(use -> use.unclaimed() > 0 && use.mayLieOn(topology, worker))
+                .min(order)
+                .orElse(null);
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/GuaranteeState.java
@@ -0,0 +1,202 @@
+package org.fescueloom.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.fescueloom.config.CustomerPolicy;
+import org.fescueloom.job.BlockClaim;
+import org.fescueloom.job.JobSpec;
+
+/**
+ * Keeps the invariant of all plans: the unclaimed part of every guaranteed block can be laid out,
+ * all at once, on accelerators that are free or held by borrowers. Mutable and confined to one
+ * planning round.
+ */
+final class GuaranteeState {
+    private final Topology topology;
+    private final Map<String, Map<String, BlockUse>> blocks = new HashMap<>();
+    private final int[] capacity;
+    private Layout layout;
+
+    /**
+     * Creates the state in which nothing is claimed.
+     *
+     * @param topology the workers, not null
+     * @param customers the customers and their guarantees, not null
+     */
+    GuaranteeState(Topology topology, List<CustomerPolicy> customers) {
+        this.topology = topology;
+        for (GuaranteedBlock block : GuaranteedBlock.of(customers)) {
+            blocks.computeIfAbsent(block.customer(), c -> new LinkedHashMap<>())
+                    .put(block.name(), new BlockUse(block));
+        }
+        capacity = new int[topology.size()];
+        for (int i = 0; i < capacity.length; i++) {
+            WorkerView worker = topology.worker(i);
+            boolean counts = worker.condition() == WorkerCondition.USABLE;
+            capacity[i] = counts ? worker.accelerators() : 0;
+        }
+    }
+
+    /**
+     * Takes over the claims of a running gang.
+     *
+     * @param gang the gang, not null
+     * @return false if a block of a claim no longer exists or is claimed otherwise; the gang is
+     *     then a borrower
+     */
+    boolean adopt(Allocation gang) {
+        if (gang.isBorrower()) {
+            return false;
+        }
+        List<BlockClaim> used = new ArrayList<>();
+        for (BlockClaim claim : gang.claims()) {
+            int worker = topology.indexOf(claim.worker());
+            BlockUse use = customerBlocks(gang.spec().customer()).get(claim.block());
+            boolean valid =
+                    worker != Topology.UNKNOWN
+                            && use != null
+                            && use.unclaimed() >= claim.accelerators()
+                            && use.mayLieOn(topology, worker);
+            if (!valid) {
+                free(gang.spec().customer(), used);
+                return false;
+            }
+            used.add(use(use, worker, claim.accelerators()));
+        }
+        layout = null;
+        return true;
+    }
+
+    /**
+     * Frees the claims of a gang that is going to stop.
+     *
+     * @param customer the customer, not null
+     * @param claims the claims, not null
+     */
+    void free(String customer, List<BlockClaim> claims) {
+        for (BlockClaim claim : claims) {
+            int worker = topology.indexOf(claim.worker());
+            customerBlocks(customer).get(claim.block()).free(worker, claim.accelerators());
+            change(worker, claim.accelerators());
+        }
+        layout = null;
+    }
+
+    /**
+     * Returns how many accelerators of each worker the layout keeps for some blocks.
+     *
+     * @param uses the blocks, not null
+     * @return the numbers by the index of the worker, never null
+     */
+    int[] keptFor(Collection<BlockUse> uses) {
+        int[] kept = new int[capacity.length];
+        for (BlockUse use : uses) {
+            layout().places()
+                    .getOrDefault(use.block(), Map.of())
+                    .forEach((worker, count) -> kept[worker] += count);
+        }
+        return kept;
+    }
+
+    /** Returns how many accelerators of a customer's blocks are unclaimed. */
+    int unclaimed(String customer) {
+        return customerBlocks(customer).values().stream().mapToInt(BlockUse::unclaimed).sum();
+    }
+
+    /** Returns the guaranteed blocks that no room is left for, by shape. */
+    List<BrokenGuarantee> broken() {
+        Map<GuaranteedBlock, Integer> counts = new LinkedHashMap<>();
+        for (LayoutItem item : layout().missing()) {
+            GuaranteedBlock block = item.block();
+            GuaranteedBlock kind =
+                    new GuaranteedBlock(
+                            block.customer(), "", block.accelerators(), block.adjacency());
+            counts.merge(kind, 1, Integer::sum);
+        }
+        List<BrokenGuarantee> broken = new ArrayList<>();
+        counts.forEach(
+                (kind, count) ->
+                        broken.add(new BrokenGuarantee(kind.customer(), kind.shape(1), count)));
+        return broken;
+    }
+
+    /** Returns the layout of everything unclaimed. */
+    Layout layout() {
+        if (layout == null) {
+            List<LayoutItem> items = new ArrayList<>();
+            blocks.values()
+                    .forEach(uses -> uses.values().forEach(u -> u.rest().ifPresent(items::add)));
+            int[] room = new int[capacity.length];
+            for (int i = 0; i < room.length; i++) {
+                room[i] = Math.max(0, capacity[i]);
+            }
+            layout = LayoutSearch.find(topology, room, items);
+        }
+        return layout;
+    }
+
+    /**
+     * Returns how many accelerators of a worker one task stands for: those that it uses, or more if
+     * its part of the cores or of the memory is larger.
+     *
+     * @param spec the gang, not null
+     * @param worker the index of the worker
+     * @return the number, at least 0
+     */
+    int share(JobSpec spec, int worker) {
+        WorkerView view = topology.worker(worker);
+        int accelerators = view.accelerators();
+        long byCpus = part(spec.cpus(), view.cpus(), accelerators);
+        long byMemory = part(spec.memoryMb(), view.memoryMb(), accelerators);
+        long largest = Math.max(spec.acceleratorsPerTask(), Math.max(byCpus, byMemory));
+        return (int) Math.min(Integer.MAX_VALUE, largest);
+    }
+
+    private static long part(long asked, long whole, int accelerators) {
+        return whole <= 0 ? 0 : (asked * accelerators + whole - 1) / whole;
+    }
+
+    /** Returns the blocks of a customer. */
+    Collection<BlockUse> blocksOf(String customer) {
+        return customerBlocks(customer).values();
+    }
+
+    /** Tells whether the layout keeps part of a block on a worker. */
+    boolean keepsOn(BlockUse use, int worker) {
+        return layout().places().getOrDefault(use.block(), Map.of()).getOrDefault(worker, 0) > 0;
+    }
+
+    /**
+     * Claims a part of a block; the layout is looked for again when it is asked for next.
+     *
+     * @param use the block, not null
+     * @param worker the index of the worker
+     * @param accelerators how many accelerators, at least 1
+     * @return the claim, never null
+     */
+    BlockClaim use(BlockUse use, int worker, int accelerators) {
+        use.use(topology, worker, accelerators);
+        change(worker, -accelerators);
+        layout = null;
+        return new BlockClaim(use.block().name(), topology.worker(worker).worker(), accelerators);
+    }
+
+    /** Sets a layout that is known to be valid. */
+    void restore(Layout known) {
+        layout = known;
+    }
+
+    private Map<String, BlockUse> customerBlocks(String customer) {
+        return blocks.getOrDefault(customer, Map.of());
+    }
+
+    private void change(int worker, int accelerators) {
+        if (topology.worker(worker).condition() == WorkerCondition.USABLE) {
+            capacity[worker] += accelerators;
+        }
+    }
+}
--- a/fescueloom-core/src/main/java/org/fescueloom/placement/JobFeasibility.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/JobFeasibility.java
@@ -33,7 +33,18 @@
      * @return whether they could
      */
     public boolean isFeasible(JobSpec spec) {
-        return fitter.fit(whole, spec, Set.of()).isPresent();
+        return isFeasible(spec, Set.of());
+    }
+
+    /**
+     * Tells whether the workers but for some could hold a job when nothing else runs.
+     *
+     * @param spec the job, not null
+     * @param avoided the workers that do not count, not null
+     * @return whether they could
+     */
+    public boolean isFeasible(JobSpec spec, Set<String> avoided) {
+        return fitter.fit(whole, spec, avoided).isPresent();
     }
 
     /**
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/ReservationBook.java
@@ -0,0 +1,137 @@
+package org.fescueloom.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Holds the reservations of one planning round, as in EASY backfilling: other jobs may use what is
+ * reserved if they are expected to end before the reservation begins.
+ */
+final class ReservationBook {
+    private final Topology topology;
+    private final GangFitter fitter;
+    private final FreeCapacity free;
+    private final List<Reservation> reservations = new ArrayList<>();
+
+    ReservationBook(Topology topology, GangFitter fitter, FreeCapacity free) {
+        this.topology = topology;
+        this.fitter = fitter;
+        this.free = free;
+    }
+
+    int size() {
+        return reservations.size();
+    }
+
+    Optional<Reservation> of(String job) {
+        return reservations.stream().filter(r -> r.job().equals(job)).findFirst();
+    }
+
+    /**
+     * Reserves the earliest place for a job that follows from the expected ends of what runs.
+     *
+     * @param job the job, not null
+     * @param gangs what runs, not null
+     * @param nowMillis the time, in milliseconds since the epoch
+     * @return the reservation, or empty if the job does not fit even when all gangs have ended
+     */
+    Optional<Reservation> reserve(WaitingJob job, List<RunningGang> gangs, long nowMillis) {
+        List<RunningGang> byEnd = new ArrayList<>(gangs);
+        byEnd.sort(Comparator.comparingLong(g -> g.expectedEndMillis(nowMillis)));
+        int low = 0;
+        int high = byEnd.size();
+        if (placeAfter(job, byEnd, high).isEmpty()) {
+            return Optional.empty();
+        }
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (placeAfter(job, byEnd, middle).isPresent()) {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        long from = low == 0 ? nowMillis : byEnd.get(low - 1).expectedEndMillis(nowMillis);
+        Reservation reservation =
+                Reservation.of(
+                        job,
+                        from,
+                        placeAfter(job, byEnd, low).orElseThrow(),
+                        topology,
+                        free,
+                        freeAfter(byEnd, low));
+        reservations.add(reservation);
+        return Optional.of(reservation);
+    }
+
+    /**
+     * Returns what a job may use.
+     *
+     * @param job the job; its own reservation does not hinder it, not null
+     * @param endMillis when the job is expected to end, in milliseconds since the epoch
+     * @return the free capacity without what is held for reservations that begin earlier
+     */
+    Capacity openUntil(String job, long endMillis) {
+        List<Reservation> active =
+                reservations.stream()
+                        .filter(r -> r.fromMillis() < endMillis && !r.job().equals(job))
+                        .toList();
+        return active.isEmpty() ? free : new OpenCapacity(free, active, topology.size());
+    }
+
+    private Optional<List<TaskPlacement>> placeAfter(
+            WaitingJob job, List<RunningGang> byEnd, int ended) {
+        Capacity view = new OpenCapacity(freeAfter(byEnd, ended), reservations, topology.size());
+        return fitter.fit(view, job.spec(), job.avoidedWorkers());
+    }
+
+    private FreeCapacity freeAfter(List<RunningGang> byEnd, int ended) {
+        FreeCapacity later = free.copy();
+        for (RunningGang gang : byEnd.subList(0, ended)) {
+            later.give(gang.allocation().spec(), gang.allocation().members());
+        }
+        return later;
+    }
+
+    /** Shows a capacity without what some reservations hold. */
+    private static final class OpenCapacity implements Capacity {
+        private final Capacity base;
+        private final long[] accelerators;
+        private final int[] cpus;
+        private final long[] memoryMb;
+
+        OpenCapacity(Capacity base, List<Reservation> reservations, int size) {
+            this.base = base;
+            accelerators = new long[size];
+            cpus = new int[size];
+            memoryMb = new long[size];
+            for (Reservation reservation : reservations) {
+                reservation
+                        .held()
+                        .forEach(
+                                (worker, held) -> {
+                                    accelerators[worker] |= held.accelerators();
+                                    cpus[worker] += held.cpus();
+                                    memoryMb[worker] += held.memoryMb();
+                                });
+            }
+        }
+
+        @Override
+        public long accelerators(int worker) {
+            return base.accelerators(worker) & ~accelerators[worker];
+        }
+
+        @Override
+        public int cpus(int worker) {
+            return base.cpus(worker) - cpus[worker];
+        }
+
+        @Override
+        public long memoryMb(int worker) {
+            return base.memoryMb(worker) - memoryMb[worker];
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/WaitExplainer.java
@@ -0,0 +1,84 @@
+package org.fescueloom.placement;
+
+import java.util.List;
+
+/** Finds out why a job does not start. */
+final class WaitExplainer {
+    private static final int MOST_HOLDERS = 3;
+
+    private final Topology topology;
+    private final GangFitter fitter;
+    private final FreeCapacity free;
+    private final RunningGangs gangs;
+
+    WaitExplainer(Topology topology, GangFitter fitter, FreeCapacity free, RunningGangs gangs) {
+        this.topology = topology;
+        this.fitter = fitter;
+        this.free = free;
+        this.gangs = gangs;
+    }
+
+    /**
+     * Explains a job that does not fit on what is open to it.
+     *
+     * @param job the job, not null
+     * @param expectedStartMillis when it is expected to start, in milliseconds since the epoch; 0
+     *     if unknown
+     * @return the decision to wait, never null
+     */
+    WaitForCapacity explain(WaitingJob job, long expectedStartMillis) {
+        Domain best = null;
+        int bestTasks = -1;
+        int allTasks = 0;
+        for (Domain domain : topology.domains(job.spec().adjacency())) {
+            int tasks = 0;
+            for (int worker : domain.workers()) {
+                tasks += fitter.tasksThatFit(free, job.spec(), job.avoidedWorkers(), worker);
+            }
+            allTasks += tasks;
+            if (tasks > bestTasks) {
+                bestTasks = tasks;
+                best = domain;
+            }
+        }
+        WaitReason reason = reason(job, bestTasks, allTasks);
+        List<String> holders = best == null ? List.of() : holders(best);
+        String missing =
+                "%s; free now: %d of %d tasks in %s"
+                        .formatted(
+                                JobFeasibility.describe(job.spec()),
+                                Math.max(0, Math.min(bestTasks, job.spec().tasks())),
+                                job.spec().tasks(),
+                                best == null ? "no worker" : best.name());
+        return new WaitForCapacity(job.job(), reason, missing, holders, expectedStartMillis);
+    }
+
+    private WaitReason reason(WaitingJob job, int bestTasks, int allTasks) {
+        if (bestTasks >= job.spec().tasks()) {
+            return WaitReason.RESERVED_FOR_OTHER;
+        }
+        boolean scattered = allTasks >= job.spec().tasks() || freeAccelerators() >= needed(job);
+        return scattered ? WaitReason.FRAGMENTED : WaitReason.NO_CAPACITY;
+    }
+
+    private static int needed(WaitingJob job) {
+        int accelerators = job.totalAccelerators();
+        return accelerators == 0 ? Integer.MAX_VALUE : accelerators;
+    }
+
+    private int freeAccelerators() {
+        int count = 0;
+        for (int worker = 0; worker < topology.size(); worker++) {
+            boolean open = topology.worker(worker).condition().isOpen();
+            count += open ? Long.bitCount(free.accelerators(worker)) : 0;
+        }
+        return count;
+    }
+
+    private List<String> holders(Domain domain) {
+        return gangs.in(domain).stream()
+                .map(g -> g.allocation().job())
+                .limit(MOST_HOLDERS)
+                .toList();
+    }
+}
--- a/fescueloom-core/src/main/java/org/fescueloom/placement/WaitingJob.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/WaitingJob.java
@@ -37,4 +37,13 @@
     public int totalAccelerators() {
         return spec.tasks() * spec.acceleratorsPerTask();
     }
+
+    /**
+     * Returns this job without workers to avoid.
+     *
+     * @return the job, never null
+     */
+    public WaitingJob avoidingNone() {
+        return new WaitingJob(job, spec, acceptedAtMillis, notBeforeMillis, remainingMillis, null);
+    }
 }
--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/placement/GuaranteeInvariantTest.java
@@ -0,0 +1,132 @@
+package org.fescueloom.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fescueloom.job.BlockClaim;
+import org.junit.jupiter.api.Test;
+
+/** Checks on small clusters that every customer can reclaim its shape after every plan. */
+class GuaranteeInvariantTest {
+    private static final int ROUNDS = 12;
+
+    @Property(tries = 400, seed = "11")
+    void unclaimedShapesCanBeLaidOutAfterEveryPlan(@ForAll Random random) {
+        Planner planner = PlacementPolicy.BUDDY_COMPACTION.planner();
+        assertThat(violation(new SmallClusterRun(random, planner))).isEmpty();
+    }
+
+    @Test
+    void violationIsFoundWhenClaimsAreOnlyCounted() {
+        Planner counting = new CountingPlanner();
+        int violations = 0;
+        for (int seed = 0; seed < 100; seed++) {
+            Random random = new Random(seed);
+            violations += violation(new SmallClusterRun(random, counting)).isPresent() ? 1 : 0;
+        }
+        assertThat(violations).isPositive();
+    }
+
+    @Property(tries = 300, seed = "12")
+    void everyUnclaimedBlockIsGrantedWhenItIsClaimed(@ForAll Random random) {
+        SmallClusterRun run =
+                new SmallClusterRun(random, PlacementPolicy.BUDDY_COMPACTION.planner());
+        for (int i = 0; i < ROUNDS; i++) {
+            run.disturb();
+            run.round();
+        }
+        run.waiting.clear();
+        List<String> claimants = new ArrayList<>();
+        for (GuaranteedBlock block : GuaranteedBlock.of(run.customers)) {
+            if (run.claims(block).isEmpty()) {
+                String id = run.nextId();
+                claimants.add(id);
+                run.add(SmallClusters.jobOf(block, id, run.nowMillis()));
+            }
+        }
+        Plan plan = run.round();
+        for (String id : claimants) {
+            boolean started = plan.startOf(id).isPresent();
+            boolean preempting =
+                    plan.decisions(WaitForCapacity.class).stream()
+                            .anyMatch(
+                                    w -> w.job().equals(id) && w.reason() == WaitReason.PREEMPTING);
+            assertThat(started || preempting).as(id + " of " + plan).isTrue();
+        }
+        run.running.values().removeIf(Allocation::ending);
+        run.round();
+        assertThat(run.running.keySet()).containsAll(claimants);
+    }
+
+    private static Optional<String> violation(SmallClusterRun run) {
+        for (int i = 0; i < ROUNDS; i++) {
+            run.disturb();
+            if (run.random.nextInt(6) == 0) {
+                run.changeZones();
+            }
+            boolean before = run.layoutExists();
+            Plan plan = run.round();
+            if (before && !run.layoutExists()) {
+                return Optional.of("no layout after round " + i + ": " + plan);
+            }
+            if (plan.broken().isEmpty() != before) {
+                return Optional.of("reported " + plan.broken() + " though layout is " + before);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Claims blocks as long as their sizes cover the gang, without a look at the layout. */
+    private static final class CountingPlanner implements Planner {
+        @Override
+        public Plan plan(PlanInput input) {
+            Map<String, Integer> left = new HashMap<>();
+            for (GuaranteedBlock block : GuaranteedBlock.of(input.customers())) {
+                left.put(block.customer() + block.name(), block.accelerators());
+            }
+            for (Allocation gang : input.cluster().allocations()) {
+                for (BlockClaim claim : gang.claims()) {
+                    String key = gang.spec().customer() + claim.block();
+                    left.merge(key, -claim.accelerators(), Integer::sum);
+                }
+            }
+            Plan plan = PlacementPolicy.BEST_FIT.planner().plan(input);
+            List<Decision> decisions = new ArrayList<>();
+            for (StartGang start : plan.decisions(StartGang.class)) {
+                decisions.add(claimed(start, input, left));
+            }
+            return new Plan(decisions, null);
+        }
+
+        private StartGang claimed(StartGang start, PlanInput input, Map<String, Integer> left) {
+            String customer =
+                    input.waiting().stream()
+                            .filter(j -> j.job().equals(start.job()))
+                            .findFirst()
+                            .orElseThrow()
+                            .spec()
+                            .customer();
+            List<BlockClaim> claims = new ArrayList<>();
+            for (TaskPlacement task : start.members()) {
+                int need = task.accelerators().size();
+                for (GuaranteedBlock block : GuaranteedBlock.of(input.customers())) {
+                    String key = customer + block.name();
+                    boolean own = block.customer().equals(customer);
+                    if (need > 0 && own && left.get(key) >= need) {
+                        left.merge(key, -need, Integer::sum);
+                        claims.add(new BlockClaim(block.name(), task.worker(), need));
+                        need = 0;
+                    }
+                }
+            }
+            return new StartGang(start.job(), start.members(), claims, start.expectedEndMillis());
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/placement/SmallClusterRun.java
@@ -0,0 +1,160 @@
+package org.fescueloom.placement;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.fescueloom.config.CustomerPolicy;
+import org.fescueloom.job.BlockClaim;
+
+/** Feeds a planner with jobs, ends, and losses on a small cluster, round by round. */
+final class SmallClusterRun {
+    private static final long ROUND_MILLIS = 1_000L;
+
+    final Random random;
+    final List<CustomerPolicy> customers;
+    final Map<String, WaitingJob> waiting = new LinkedHashMap<>();
+    final Map<String, Allocation> running = new LinkedHashMap<>();
+    private final Planner planner;
+    private List<WorkerView> workers;
+    private long nowMillis;
+    private int jobs;
+
+    SmallClusterRun(Random random, Planner planner) {
+        this.random = random;
+        this.planner = planner;
+        workers = SmallClusters.workers(random);
+        customers = SmallClusters.customers(random, workers);
+    }
+
+    Topology topology() {
+        return new Topology(workers);
+    }
+
+    /** Ends gangs and adds jobs at random. */
+    void disturb() {
+        nowMillis += ROUND_MILLIS;
+        running.values().removeIf(a -> a.ending() || random.nextInt(5) == 0);
+        for (int i = random.nextInt(3); i > 0; i--) {
+            add(SmallClusters.job(random, "j" + jobs++, nowMillis));
+        }
+    }
+
+    /** Takes a zone out, or everything in again. */
+    void changeZones() {
+        String out = "z" + random.nextInt(3);
+        workers =
+                workers.stream()
+                        .map(
+                                w ->
+                                        w.withCondition(
+                                                w.zone().equals(out)
+                                                        ? WorkerCondition.ZONE_OUT
+                                                        : WorkerCondition.USABLE))
+                        .toList();
+        running.values()
+                .removeIf(
+                        a ->
+                                a.members().stream()
+                                        .anyMatch(m -> !worker(m.worker()).condition().isOpen()));
+    }
+
+    void add(WaitingJob job) {
+        waiting.put(job.job(), job);
+    }
+
+    String nextId() {
+        return "j" + jobs++;
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    /** Plans one round and carries it out. */
+    Plan round() {
+        ClusterView cluster = new ClusterView(workers, List.copyOf(running.values()));
+        Plan plan =
+                planner.plan(
+                        new PlanInput(
+                                nowMillis,
+                                cluster,
+                                List.copyOf(waiting.values()),
+                                customers,
+                                null));
+        plan.decisions(PreemptGang.class).forEach(p -> end(p.job()));
+        plan.decisions(MoveGang.class).forEach(m -> end(m.job()));
+        plan.decisions(RejectJob.class).forEach(r -> waiting.remove(r.job()));
+        plan.decisions(StartGang.class).forEach(this::start);
+        return plan;
+    }
+
+    private void start(StartGang start) {
+        WaitingJob job = waiting.remove(start.job());
+        running.put(
+                start.job(),
+                new Allocation(
+                        start.job(),
+                        job.spec(),
+                        start.members(),
+                        start.claims(),
+                        nowMillis,
+                        nowMillis,
+                        start.expectedEndMillis(),
+                        false));
+    }
+
+    private void end(String job) {
+        running.computeIfPresent(
+                job,
+                (id, a) ->
+                        new Allocation(
+                                id,
+                                a.spec(),
+                                a.members(),
+                                null,
+                                a.startedAtMillis(),
+                                a.savedAtMillis(),
+                                a.expectedEndMillis(),
+                                true));
+    }
+
+    private WorkerView worker(String name) {
+        return workers.stream().filter(w -> w.worker().equals(name)).findFirst().orElseThrow();
+    }
+
+    /** Tells by trying everything whether all unclaimed blocks can be laid out. */
+    boolean layoutExists() {
+        Topology topology = topology();
+        int[] capacity = new int[topology.size()];
+        for (int i = 0; i < capacity.length; i++) {
+            boolean usable = topology.worker(i).condition() == WorkerCondition.USABLE;
+            capacity[i] = usable ? topology.worker(i).accelerators() : 0;
+        }
+        List<LayoutItem> items = new ArrayList<>();
+        for (GuaranteedBlock block : GuaranteedBlock.of(customers)) {
+            int left = block.accelerators();
+            int domain = LayoutItem.ANYWHERE;
+            for (BlockClaim claim : claims(block)) {
+                int worker = topology.indexOf(claim.worker());
+                left -= claim.accelerators();
+                capacity[worker] -= claim.accelerators();
+                domain = topology.domainOf(block.adjacency(), worker);
+            }
+            if (left > 0) {
+                items.add(new LayoutItem(block, left, domain));
+            }
+        }
+        return ExhaustiveLayout.exists(topology, capacity, items);
+    }
+
+    /** Returns the claims of running gangs on a block. */
+    List<BlockClaim> claims(GuaranteedBlock block) {
+        return running.values().stream()
+                .filter(a -> a.spec().customer().equals(block.customer()))
+                .flatMap(a -> a.claims().stream())
+                .filter(c -> c.block().equals(block.name()))
+                .toList();
+    }
+}
