--- a/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/Demo.java
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/Demo.java
@@ -2,17 +2,20 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import org.fescueloom.report.JobReport;
 import org.fescueloom.report.PlacementReport;
 import org.fescueloom.report.UpstreamsReport;
 import org.fescueloom.report.WorkersReport;
 import org.fescueloom.standins.demo.DemoCluster.DemoUpstream;
 import org.fescueloom.standins.demo.DemoCluster.DemoWorker;
+import org.fescueloom.standins.demo.DemoCluster.UpstreamPlan;
 import org.fescueloom.standins.upstream.UpstreamRecords;
 import org.fescueloom.standins.worker.WorkerEvent;
 
@@ -25,6 +28,8 @@
     private static final Duration READY_LIMIT = Duration.ofSeconds(20);
     private static final Duration JOB_LIMIT = Duration.ofSeconds(30);
     private static final Duration ZONE_LIMIT = Duration.ofSeconds(20);
+    private static final long KIB_PER_MIB = 1024;
+    private static final int EXIT_REFUSED = 4;
     private static final String SUCCEEDED = "succeeded";
     private static final Set<String> ENDED = Set.of(SUCCEEDED, "failed", "cancelled");
 
@@ -47,11 +52,14 @@
         publishConfiguration();
         awaitAnnouncements();
         sendRequests("requests from 8 callers through both entries");
+        explainRequest();
         runJobs();
+        reclaimGuarantee();
         takeZoneOut();
         bringZoneIn();
         letUpstreamLeave();
         checkGangs();
+        reportMemory();
     }
 
     private void startProcesses() {
@@ -59,15 +67,13 @@
         cluster.startLog();
         cluster.startEntry("entry-1", ZONES.get(0));
         cluster.startEntry("entry-2", ZONES.get(1));
+        List<UpstreamPlan> plans = new ArrayList<>();
         for (int i = 0; i < SPEEDS.length; i++) {
-            cluster.startUpstream("weaveplan-" + (i + 1), ZONES.get(i % ZONES.size()), SPEEDS[i]);
-        }
-        int[] workers = {3, 2, 2};
-        for (int zone = 0; zone < workers.length; zone++) {
-            for (int position = 0; position < workers[zone]; position++) {
-                cluster.startWorker(ZONES.get(zone), ZONES.get(zone) + "-r1", position);
-            }
+            String zone = ZONES.get(i % ZONES.size());
+            plans.add(new UpstreamPlan("weaveplan-" + (i + 1), zone, SPEEDS[i]));
         }
+        cluster.startUpstreams(plans);
+        cluster.startWorkers(Map.of(ZONES.get(0), 3, ZONES.get(1), 2, ZONES.get(2), 2));
         narrator.say("the platform's log service, a stand-in, holds all that must last");
         narrator.say("entries listen on %s", String.join(" and ", cluster.entries()));
         narrator.say(
@@ -89,38 +95,28 @@
     }
 
     private void awaitAnnouncements() {
-        boolean upstreams =
-                Pause.until(
-                        READY_LIMIT,
-                        () ->
-                                cluster.entries().stream()
-                                        .allMatch(
-                                                e ->
-                                                        callers.get(
-                                                                                e,
-                                                                                "/v1/upstreams",
-                                                                                UpstreamsReport
-                                                                                        .class)
-                                                                        .upstreams()
-                                                                        .size()
-                                                                == cluster.upstreams().size()));
-        narrator.check(upstreams, "every upstream announced itself to both entries");
-        boolean workers =
+        awaitAtEachEntry(
+                entry ->
+                        callers.get(entry, "/v1/upstreams", UpstreamsReport.class)
+                                .upstreams()
+                                .size(),
+                cluster.upstreams().size(),
+                "upstream");
+        awaitAtEachEntry(
+                entry -> callers.get(entry, "/v1/workers", WorkersReport.class).workers().size(),
+                cluster.workers().size(),
+                "worker");
+        narrator.show(tool.require("status").out());
+    }
+
+    private void awaitAtEachEntry(ToIntFunction<String> known, int expected, String what) {
+        boolean all =
                 Pause.until(
                         READY_LIMIT,
                         () ->
                                 cluster.entries().stream()
-                                        .allMatch(
-                                                e ->
-                                                        callers.get(
-                                                                                e,
-                                                                                "/v1/workers",
-                                                                                WorkersReport.class)
-                                                                        .workers()
-                                                                        .size()
-                                                                == cluster.workers().size()));
-        narrator.check(workers, "every worker announced itself to both entries");
-        narrator.show(tool.require("status").out());
+                                        .allMatch(e -> known.applyAsInt(e) == expected));
+        narrator.check(all, "every %s announced itself to both entries", what);
     }
 
     private Callers.Outcome sendRequests(String title) {
@@ -147,6 +143,24 @@
         return known == null ? "an unknown zone" : known.zone();
     }
 
+    private void explainRequest() {
+        narrator.part("one request through the command-line tool, and what was decided about it");
+        String body = "crab trap, 12 gauge";
+        Tool.Result answer =
+                tool.run(
+                        "request",
+                        "send",
+                        "weaveplan",
+                        "--customer",
+                        "fishers",
+                        "--request-id",
+                        "trap-17",
+                        "--data",
+                        body);
+        narrator.check(answer.out().equals(body), "the tool printed its own answer");
+        narrator.show(tool.require("explain", "trap-17").out());
+    }
+
     private void runJobs() {
         narrator.part("gang jobs: culvert screens need one rack, crab traps one zone");
         submit("culvert-1", "culvert-screens");
@@ -157,15 +171,53 @@
         awaitJob("culvert-1");
         awaitJob("traps-1");
         narrator.show(tool.require("explain", "culvert-1").out());
+        Tool.Result refused = tool.run("job", "submit", "giant-1", example("giant-basket"));
+        narrator.show(refused.err());
+        narrator.check(
+                refused.status() == EXIT_REFUSED,
+                "a job that no set of workers could ever hold was refused at once");
+    }
+
+    private void reclaimGuarantee() {
+        narrator.part("fishers borrow most accelerators, then parks-dispatch claims its guarantee");
+        submit("rush-1", "crab-traps-rush");
+        awaitRunning("rush-1");
+        narrator.show(tool.require("workers").out());
+        long claimed = System.nanoTime();
+        submit("culvert-3", "culvert-screens");
+        awaitRunning("culvert-3");
+        narrator.say(
+                "culvert-3 was placed %.1f s after it was submitted",
+                (System.nanoTime() - claimed) / 1e9);
+        narrator.show(tool.require("workers").out());
+        awaitJob("culvert-3");
+        JobReport borrower = awaitJob("rush-1");
+        narrator.check(
+                borrower.attempts() > 1, "rush-1 gave way, then went on from its checkpoint");
+        narrator.show(tool.require("explain", "rush-1").out());
+    }
+
+    private void awaitRunning(String id) {
+        boolean placed =
+                Pause.until(
+                        JOB_LIMIT,
+                        () -> {
+                            JobReport job = job(id);
+                            return !job.placement().isEmpty() || ENDED.contains(job.state());
+                        });
+        narrator.check(placed, "%s was placed", id);
     }
 
     private void submit(String job, String example) {
-        Path spec = installation.home().resolve("examples/jobs/" + example + ".json");
-        tool.require("job", "submit", job, spec.toString());
+        tool.require("job", "submit", job, example(example));
+    }
+
+    private String example(String name) {
+        return installation.home().resolve("examples/jobs/" + name + ".json").toString();
     }
 
     private JobReport job(String job) {
-        return tool.require("--json", "job", "show", job).read(JobReport.class);
+        return callers.get(cluster.entries().get(0), "/v1/jobs/" + job, JobReport.class);
     }
 
     private JobReport awaitJob(String job) {
@@ -273,7 +325,7 @@
                 }
             }
         }
-        for (String id : List.of("culvert-1", "traps-1", "culvert-2")) {
+        for (String id : List.of("culvert-1", "traps-1", "rush-1", "culvert-3", "culvert-2")) {
             JobReport job = job(id);
             int tasks = job.spec().tasks();
             long whole =
@@ -295,4 +347,12 @@
         tasks.computeIfAbsent(event.job() + "/" + event.attempt(), k -> new HashSet<>())
                 .add(event.task());
     }
+
+    private void reportMemory() {
+        narrator.part("resident memory of the daemons");
+        for (DemoProcess daemon : cluster.daemons()) {
+            daemon.residentKib()
+                    .ifPresent(kib -> narrator.say("%s: %d MB", daemon.name(), kib / KIB_PER_MIB));
+        }
+    }
 }
--- a/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoCluster.java
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoCluster.java
@@ -23,10 +23,14 @@
     private final List<DemoProcess> processes = Collections.synchronizedList(new ArrayList<>());
     private final Map<String, DemoUpstream> upstreams = new LinkedHashMap<>();
     private final Map<String, DemoWorker> workers = new LinkedHashMap<>();
+    private final List<DemoProcess> daemons = new ArrayList<>();
     private final List<String> entries = new ArrayList<>();
     private String logService;
     private boolean closed;
 
+    /** Says which upstream to start, how many times faster than the slowest. */
+    record UpstreamPlan(String name, String zone, double speed) {}
+
     /** Names an upstream with its availability zone, address and process. */
     record DemoUpstream(String name, String zone, String address, DemoProcess process) {}
 
@@ -43,56 +47,87 @@
     }
 
     void startLog() {
-        logService = start("log", installation.standIn("log", "--listen", ANY_PORT)).address();
+        logService =
+                launch("log", installation.standIn("log", "--listen", ANY_PORT))
+                        .awaitAddress(START_LIMIT);
     }
 
     void startEntry(String name, String zone) {
-        Map<String, Object> settings = settings("entry", name, zone);
-        entries.add(startDaemon(name, settings).address());
+        entries.add(launchDaemon(settings("entry", name, zone)).awaitAddress(START_LIMIT));
     }
 
-    /** Starts an agent and the upstream beside it. */
-    void startUpstream(String name, String zone, double speed) {
-        String agent =
-                startDaemon(name + "-agent", settings("agent", name + "-agent", zone)).address();
-        Started upstream =
-                start(
-                        name,
-                        installation.standIn(
-                                "upstream",
-                                "--listen",
-                                ANY_PORT,
-                                "--upstream",
-                                name,
-                                "--agent",
-                                agent,
-                                "--service-millis",
-                                Integer.toString(SERVICE_MILLIS),
-                                "--speed",
-                                Double.toString(speed)));
-        upstreams.put(name, new DemoUpstream(name, zone, upstream.address(), upstream.process()));
-    }
-
-    void startWorker(String zone, String rack, int position) {
+    /** Starts agents, then the upstream beside each one. */
+    void startUpstreams(List<UpstreamPlan> plans) {
+        List<DemoProcess> agents =
+                plans.stream()
+                        .map(p -> launchDaemon(settings("agent", p.name() + "-agent", p.zone())))
+                        .toList();
+        List<DemoProcess> started = new ArrayList<>();
+        for (int i = 0; i < plans.size(); i++) {
+            started.add(launchUpstream(plans.get(i), agents.get(i).awaitAddress(START_LIMIT)));
+        }
+        for (int i = 0; i < plans.size(); i++) {
+            UpstreamPlan plan = plans.get(i);
+            DemoProcess process = started.get(i);
+            String address = process.awaitAddress(START_LIMIT);
+            upstreams.put(
+                    plan.name(), new DemoUpstream(plan.name(), plan.zone(), address, process));
+        }
+    }
+
+    private DemoProcess launchUpstream(UpstreamPlan plan, String agent) {
+        return launch(
+                plan.name(),
+                installation.standIn(
+                        "upstream",
+                        "--listen",
+                        ANY_PORT,
+                        "--upstream",
+                        plan.name(),
+                        "--agent",
+                        agent,
+                        "--service-millis",
+                        Integer.toString(SERVICE_MILLIS),
+                        "--speed",
+                        Double.toString(plan.speed())));
+    }
+
+    /** Starts workers, all of one rack in each zone. */
+    void startWorkers(Map<String, Integer> countByZone) {
+        Map<DemoProcess, String> started = new LinkedHashMap<>();
+        countByZone.forEach(
+                (zone, count) -> {
+                    for (int position = 0; position < count; position++) {
+                        started.put(launchWorker(zone, position), zone);
+                    }
+                });
+        started.forEach(
+                (process, zone) ->
+                        workers.put(
+                                process.name(),
+                                new DemoWorker(
+                                        process.name(), zone, process.awaitAddress(START_LIMIT))));
+    }
+
+    private DemoProcess launchWorker(String zone, int position) {
+        String rack = zone + "-r1";
         String name = rack + "-w" + position;
-        Started worker =
-                start(
+        return launch(
+                name,
+                installation.standIn(
+                        "worker",
+                        "--listen",
+                        ANY_PORT,
+                        "--worker",
                         name,
-                        installation.standIn(
-                                "worker",
-                                "--listen",
-                                ANY_PORT,
-                                "--worker",
-                                name,
-                                "--zone",
-                                zone,
-                                "--rack",
-                                rack,
-                                "--position",
-                                Integer.toString(position),
-                                "--entries",
-                                String.join(",", entries)));
-        workers.put(name, new DemoWorker(name, zone, worker.address()));
+                        "--zone",
+                        zone,
+                        "--rack",
+                        rack,
+                        "--position",
+                        Integer.toString(position),
+                        "--entries",
+                        String.join(",", entries)));
     }
 
     List<String> entries() {
@@ -111,8 +146,6 @@
         return processes.size();
     }
 
-    private record Started(DemoProcess process, String address) {}
-
     private Map<String, Object> settings(String role, String member, String zone) {
         Map<String, Object> settings = new LinkedHashMap<>();
         settings.put("role", role);
@@ -125,26 +158,33 @@
         return settings;
     }
 
-    private Started startDaemon(String name, Map<String, Object> settings) {
+    private DemoProcess launchDaemon(Map<String, Object> settings) {
+        String name = settings.get("member").toString();
         Path file = installation.directory().resolve(name + ".json");
         try {
             Files.write(file, Json.write(settings));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        return start(name, installation.daemon(file));
+        DemoProcess process = launch(name, installation.daemon(file));
+        daemons.add(process);
+        return process;
     }
 
-    private Started start(String name, List<String> command) {
-        DemoProcess process;
+    private DemoProcess launch(String name, List<String> command) {
         synchronized (processes) {
             if (closed) {
                 throw new DemoException("interrupted");
             }
-            process = DemoProcess.start(name, installation.directory(), command);
+            DemoProcess process = DemoProcess.start(name, installation.directory(), command);
             processes.add(process);
+            return process;
         }
-        return new Started(process, process.awaitAddress(START_LIMIT));
+    }
+
+    /** Returns the daemons, entries first. */
+    List<DemoProcess> daemons() {
+        return List.copyOf(daemons);
     }
 
     /** Ends every process in the reverse order of the starts, each by its process id. */
--- a/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoProcess.java
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoProcess.java
@@ -9,11 +9,13 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /** Is one process of the demonstration, which says on its output where it listens. */
 final class DemoProcess {
     private static final String LISTENING = "listening ";
+    private static final String RESIDENT = "VmRSS:";
     private static final long POLL_MILLIS = 20;
 
     private final String name;
@@ -86,6 +88,26 @@
         }
     }
 
+    /**
+     * Returns the memory that the process has resident.
+     *
+     * @return the memory in kibibytes, or empty where the system does not tell
+     */
+    OptionalLong residentKib() {
+        Path status = Path.of("/proc", Long.toString(id()), "status");
+        if (!Files.isReadable(status)) {
+            return OptionalLong.empty();
+        }
+        try {
+            return Files.readAllLines(status).stream()
+                    .filter(line -> line.startsWith(RESIDENT))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                    .findFirst();
+        } catch (IOException e) {
+            return OptionalLong.empty();
+        }
+    }
+
     /** Asks the process to end. */
     void terminate() {
         process.destroy();
--- a/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/Tool.java
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/Tool.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import org.fescueloom.json.Json;
 
 /** Runs the command-line tool as a process of its own. */
 final class Tool {
@@ -27,12 +26,7 @@
     }
 
     /** Holds what a run of the tool gave. */
-    record Result(int status, String out, String err) {
-        /** Reads the output as JSON. */
-        <T> T read(Class<T> type) {
-            return Json.read(out.getBytes(StandardCharsets.UTF_8), type);
-        }
-    }
+    record Result(int status, String out, String err) {}
 
     /** Runs the tool and waits for its end. */
     Result run(String... arguments) {
