--- a/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoCluster.java
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoCluster.java
@@ -187,6 +187,13 @@
         return List.copyOf(daemons);
     }
 
+    /** Tells whether the processes have been ended, as by an interrupt. */
+    boolean isClosed() {
+        synchronized (processes) {
+            return closed;
+        }
+    }
+
     /** Ends every process in the reverse order of the starts, each by its process id. */
     @Override
     public void close() {
--- a/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoMain.java
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoMain.java
@@ -26,6 +26,9 @@
         try (Callers callers = new Callers()) {
             new Demo(installation, cluster, callers, narrator).run();
         } catch (RuntimeException e) {
+            if (cluster.isClosed()) {
+                return;
+            }
             narrator.fail("the demonstration ended early: " + e.getMessage());
         }
         int processes = cluster.size();
