Refuse configurations whose guarantees cannot be laid out

Cause: the operator API took any guaranteed shapes; the planner's checker was not asked, and broken guarantees were told by the planning entry only. Ruled out: asking the planner over HTTP (a publication must not wait for it). Change: JobOperatorHooks asks GuaranteeChecker at publication (422 with the path of the shape that failed) and for the guarantees that a zone's loss breaks, on every entry. The views of workers are built in one place. Conclusion: a wrong guarantee is told to the operator before it is in force.

--- a/fescueloom-core/src/main/java/org/fescueloom/placement/GuaranteeChecker.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/GuaranteeChecker.java
@@ -33,11 +33,22 @@
      */
     public static List<BrokenGuarantee> check(
             List<CustomerPolicy> customers, List<WorkerView> workers) {
-        if (workers.isEmpty()) {
-            return List.of();
-        }
         List<WorkerView> usable =
                 workers.stream().map(w -> w.withCondition(WorkerCondition.USABLE)).toList();
-        return new GuaranteeState(new Topology(usable), customers).broken();
+        return broken(customers, usable);
+    }
+
+    /**
+     * Finds the guarantees that cannot be laid out on the workers that are open now.
+     *
+     * @param customers the customers, not null
+     * @param workers every known worker in its present condition, not null
+     * @return the shapes that cannot be laid out, empty if all can or no worker is known
+     */
+    public static List<BrokenGuarantee> broken(
+            List<CustomerPolicy> customers, List<WorkerView> workers) {
+        return workers.isEmpty()
+                ? List.of()
+                : new GuaranteeState(new Topology(workers), customers).broken();
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobOperatorHooks.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobOperatorHooks.java
@@ -7,11 +7,16 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.fescueloom.config.ConfigurationDocument;
+import org.fescueloom.config.ConfigurationFault;
+import org.fescueloom.config.CustomerPolicy;
 import org.fescueloom.daemon.cluster.OperatorHooks;
 import org.fescueloom.job.GangMember;
 import org.fescueloom.job.GangPlaced;
 import org.fescueloom.job.Job;
 import org.fescueloom.member.Member;
+import org.fescueloom.placement.BrokenGuarantee;
+import org.fescueloom.placement.GuaranteeChecker;
+import org.fescueloom.placement.WorkerView;
 import org.fescueloom.report.AcceleratorReport;
 import org.fescueloom.report.AcceleratorUse;
 import org.fescueloom.report.WorkerSummary;
@@ -30,18 +35,19 @@
         this.jobs = Objects.requireNonNull(jobs, "jobs");
     }
 
+    @Override
+    public List<ConfigurationFault> checkGuarantees(ConfigurationDocument document) {
+        List<WorkerView> workers = jobs.workerViews(document);
+        return GuaranteeChecker.check(document, workers).stream()
+                .map(broken -> fault(document, broken))
+                .toList();
+    }
+
     @Override
     public List<String> brokenGuarantees(ConfigurationDocument document) {
-        return jobs.board().broken().stream()
-                .map(
-                        b ->
-                                "%s: %d of %d blocks of %d accelerators, adjacency %s"
-                                        .formatted(
-                                                b.customer(),
-                                                b.missingBlocks(),
-                                                b.shape().blocks(),
-                                                b.shape().accelerators(),
-                                                b.shape().adjacency().text()))
+        List<WorkerView> workers = jobs.workerViews(document);
+        return GuaranteeChecker.broken(document.customers(), workers).stream()
+                .map(JobOperatorHooks::words)
                 .toList();
     }
 
@@ -74,6 +80,31 @@
                         ageMillis));
     }
 
+    private static ConfigurationFault fault(
+            ConfigurationDocument document, BrokenGuarantee broken) {
+        for (int i = 0; i < document.customers().size(); i++) {
+            CustomerPolicy customer = document.customers().get(i);
+            int j = customer.guaranteedShapes().indexOf(broken.shape());
+            if (customer.name().equals(broken.customer()) && j >= 0) {
+                return new ConfigurationFault(
+                        "customers[" + i + "].guaranteedShapes[" + j + "]",
+                        words(broken),
+                        "shapes that can be laid out on the workers together with all others");
+            }
+        }
+        return new ConfigurationFault("customers", words(broken), "shapes that can be laid out");
+    }
+
+    private static String words(BrokenGuarantee broken) {
+        return "%s: %d of %d blocks of %d accelerators, adjacency %s, cannot be laid out"
+                .formatted(
+                        broken.customer(),
+                        broken.missingBlocks(),
+                        broken.shape().blocks(),
+                        broken.shape().accelerators(),
+                        broken.shape().adjacency().text());
+    }
+
     private List<AcceleratorReport> accelerators(String worker, int count) {
         Map<Integer, AcceleratorReport> used = new HashMap<>();
         for (GangPlaced gang : jobs.ledger().openGangs()) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobRoutes.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobRoutes.java
@@ -116,22 +116,12 @@
             throw new SchedulerException(
                     FailureType.UNKNOWN_CUSTOMER, "no customer " + spec.customer());
         }
-        List<WorkerView> workers = workerViews(document);
+        List<WorkerView> workers = PlanInputBuilder.views(ledger, cluster.workers(), document);
         if (!workers.isEmpty()) {
             new JobFeasibility(workers).requireFeasible(spec);
         }
     }
 
-    private List<WorkerView> workerViews(ConfigurationDocument document) {
-        long now = System.currentTimeMillis();
-        return ledger.read(
-                book ->
-                        cluster.workers().stream()
-                                .filter(w -> w.announcement().worker() != null)
-                                .map(w -> PlanInputBuilder.view(w, document, book.failures(), now))
-                                .toList());
-    }
-
     private CompletableFuture<HttpReply> show(HttpCall call) {
         String id = jobName(call);
         Job job = ledger.job(id).orElseThrow(() -> notFound(id));
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
+import org.fescueloom.config.ConfigurationDocument;
 import org.fescueloom.daemon.Daemon;
 import org.fescueloom.daemon.Service;
 import org.fescueloom.daemon.cluster.Clocks;
@@ -25,6 +26,7 @@
 import org.fescueloom.placement.PlacementPolicy;
 import org.fescueloom.placement.RunTimeEstimates;
 import org.fescueloom.placement.WorkerCondition;
+import org.fescueloom.placement.WorkerView;
 import org.fescueloom.report.ExplanationReport;
 
 /** Puts together the job path of one process: keepers everywhere, routes and planner on entries. */
@@ -155,6 +157,16 @@
         return counts;
     }
 
+    /**
+     * Describes every known worker under a configuration.
+     *
+     * @param document the configuration, not null
+     * @return the workers as the planner sees them, never null
+     */
+    public List<WorkerView> workerViews(ConfigurationDocument document) {
+        return PlanInputBuilder.views(ledger, jobCluster.workers(), document);
+    }
+
     /**
      * Tells whether a worker can take tasks.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlanInputBuilder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlanInputBuilder.java
@@ -58,11 +58,7 @@
             Map<String, GangPlaced> starting,
             Set<String> ending,
             long nowMillis) {
-        List<WorkerView> views =
-                workers.stream()
-                        .filter(w -> w.announcement().worker() != null)
-                        .map(w -> view(w, document, book.failures(), nowMillis))
-                        .toList();
+        List<WorkerView> views = views(workers, document, book.failures(), nowMillis);
         List<Allocation> allocations = new ArrayList<>();
         List<WaitingJob> waiting = new ArrayList<>();
         for (Job job : book.jobs()) {
@@ -79,6 +75,31 @@
         return new PlanInput(nowMillis, cluster, waiting, document.customers(), estimates);
     }
 
+    /**
+     * Describes every known worker as the planner sees it now.
+     *
+     * @param ledger keeps what failures tell about workers, not null
+     * @param workers the workers that announced themselves, not null
+     * @param document the configuration, not null
+     * @return the views, never null
+     */
+    public static List<WorkerView> views(
+            JobLedger ledger, List<Member> workers, ConfigurationDocument document) {
+        long now = System.currentTimeMillis();
+        return ledger.read(book -> views(workers, document, book.failures(), now));
+    }
+
+    private static List<WorkerView> views(
+            List<Member> workers,
+            ConfigurationDocument document,
+            FailureLedger failures,
+            long nowMillis) {
+        return workers.stream()
+                .filter(w -> w.announcement().worker() != null)
+                .map(w -> view(w, document, failures, nowMillis))
+                .toList();
+    }
+
     /**
      * Describes a worker as the planner sees it.
      *
