Renew leases when due, write jobs again before they expire, measure slopes

Cause: two keepers renewed each lease twice in 1.5 s; nothing wrote the state of a job again before the log drops its records, and finished jobs stayed in memory for ever; the capacity page needs the slopes of the job path.

Ruled out: one keeper a gang (its death would cost a wait); forgetting by the clock of each process (the folds would differ; the log's time is used).

--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/job/EpochBookTest.java
@@ -0,0 +1,45 @@
+package org.fescueloom.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.TextNode;
+import org.fescueloom.json.Json;
+import org.fescueloom.log.LogRecord;
+import org.junit.jupiter.api.Test;
+
+class EpochBookTest {
+    private final EpochBook book = new EpochBook();
+
+    private void claim(long offset, String id, String entry, int version) {
+        EpochClaim claim = new EpochClaim(version, entry, 7, 1);
+        book.apply(new LogRecord(offset, 0, id, Json.tree(claim)));
+    }
+
+    @Test
+    void lastClaimHoldsAndItsOffsetIsTheEpoch() {
+        assertThat(book.epoch()).isEqualTo(-1);
+        claim(0, "a", "entry-1", EpochClaim.VERSION);
+        claim(1, "b", "entry-2", EpochClaim.VERSION);
+        assertThat(book.epoch()).isEqualTo(1);
+        assertThat(book.claim().orElseThrow().isBy("entry-2", 7)).isTrue();
+        assertThat(book.claim().orElseThrow().isBy("entry-2", 8)).isFalse();
+    }
+
+    @Test
+    void repeatOfTheLastClaimChangesNothing() {
+        claim(0, "a", "entry-1", EpochClaim.VERSION);
+        claim(1, "a", "entry-1", EpochClaim.VERSION);
+        claim(0, "late", "entry-2", EpochClaim.VERSION);
+        assertThat(book.epoch()).isZero();
+        assertThat(book.next()).isEqualTo(2);
+    }
+
+    @Test
+    void unreadableRecordsAreCountedAndSkipped() {
+        claim(0, "a", "entry-1", EpochClaim.VERSION);
+        claim(1, "b", "entry-2", EpochClaim.VERSION + 1);
+        book.apply(new LogRecord(2, 0, "c", new TextNode("?")));
+        assertThat(book.epoch()).isZero();
+        assertThat(book.unreadable()).isEqualTo(2);
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobLedger.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobLedger.java
@@ -20,9 +20,13 @@
 /**
  * Keeps the job book of a process and tells others of its changes. Can be used by many threads.
  *
- * <p>The follower of the stream applies the records; everybody else reads.
+ * <p>The follower of the stream applies the records; everybody else reads. Jobs that are over are
+ * forgotten by the time of the log, at the same record in every process.
  */
 public final class JobLedger implements StreamFold {
+    /** How long a job that is over is remembered, in milliseconds (one day). */
+    public static final long FINISHED_RETENTION_MILLIS = 24L * 3_600 * 1_000;
+
     private final JobBook book = new JobBook();
     private final Map<String, CompletableFuture<RecordEffect>> waiters = new ConcurrentHashMap<>();
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
@@ -50,6 +54,7 @@
                 return;
             }
             effect = book.apply(record);
+            book.forgetFinished(record.timestampMillis() - FINISHED_RETENTION_MILLIS);
         }
         CompletableFuture<RecordEffect> waiter = waiters.remove(record.id());
         if (waiter != null) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
@@ -109,6 +109,7 @@
                 new KeeperListRoutes(() -> cluster.members().agents(Clocks.monotonicMillis()));
         daemon.add(agents);
         installKeeper(daemon, KeeperDuty.ofEntry(cluster.member(), agents::candidates));
+        daemon.add(new JobSnapshotService(ledger, jobLog, planner::isPlanning, metrics));
         daemon.add(planner);
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperService.java
@@ -42,6 +42,10 @@
     private static final LeaseTerms TERMS = LeaseTerms.DEFAULT;
     private static final Duration LEASE = Duration.ofMillis(TERMS.ttlMillis());
 
+    /** The rest of a lease below which it is renewed: two more rounds still fit into it. */
+    private static final long RENEW_BELOW_MILLIS =
+            2 * (TERMS.pollMillis() + TERMS.callTimeoutMillis());
+
     private final ScheduledExecutorService executor =
             Executors.newSingleThreadScheduledExecutor(KeeperService::thread);
     private final Map<String, GangWatch> watches = new ConcurrentHashMap<>();
@@ -150,9 +154,9 @@
             KeeperDecision decision = decide(gang, reports, roundAtMillis, now);
             metrics.count("keeper.decisions." + decision.action().name().toLowerCase());
             switch (decision.action()) {
-                case RENEW -> addRenewals(gang, renewals);
+                case RENEW -> addRenewalsIfDue(gang, reports, renewals);
                 case COMPLETE -> {
-                    addRenewals(gang, renewals);
+                    addRenewalsIfDue(gang, reports, renewals);
                     complete(gang, decision);
                 }
                 case STOP -> stop(gang, decision);
@@ -189,6 +193,25 @@
         return decision;
     }
 
+    /** Renews all leases of a gang as soon as one of them is due, so that they end together. */
+    private static void addRenewalsIfDue(
+            GangPlaced gang,
+            Map<String, WorkerReport> reports,
+            Map<String, List<String>> renewals) {
+        Set<String> leases =
+                gang.members().stream().map(GangMember::lease).collect(Collectors.toSet());
+        boolean due =
+                gang.members().stream()
+                        .map(GangMember::worker)
+                        .distinct()
+                        .flatMap(worker -> reports.get(worker).leases().stream())
+                        .filter(lease -> leases.contains(lease.lease()))
+                        .anyMatch(lease -> lease.expiresInMillis() < RENEW_BELOW_MILLIS);
+        if (due) {
+            addRenewals(gang, renewals);
+        }
+    }
+
     private static void addRenewals(GangPlaced gang, Map<String, List<String>> renewals) {
         for (GangMember member : gang.members()) {
             renewals.computeIfAbsent(member.address(), a -> new ArrayList<>()).add(member.lease());
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/DaemonProcess.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/DaemonProcess.java
@@ -58,6 +58,10 @@
         throw new AssertionError("daemon did not start: " + Files.readString(output));
     }
 
+    long pid() {
+        return process.pid();
+    }
+
     void kill() throws InterruptedException {
         process.destroyForcibly().waitFor();
     }
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/JobPathBenchmark.java
@@ -0,0 +1,265 @@
+package org.fescueloom.daemon.jobs;
+
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import org.fescueloom.job.GangEnded;
+import org.fescueloom.job.GangMember;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.GangResult;
+import org.fescueloom.job.JobAccepted;
+import org.fescueloom.job.JobBook;
+import org.fescueloom.job.JobRecord;
+import org.fescueloom.job.JobRecords;
+import org.fescueloom.job.JobSpec;
+import org.fescueloom.json.Json;
+import org.fescueloom.log.LogRecord;
+import org.fescueloom.wire.LeaseReport;
+import org.fescueloom.wire.TaskReport;
+import org.fescueloom.wire.TaskState;
+import org.fescueloom.wire.WorkerReport;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Measures the slopes of the job path that docs/CAPACITY.md works from. */
+@Tag("benchmark")
+class JobPathBenchmark {
+    private static final int JOBS = 11_100;
+    private static final int TICKS_PER_SECOND = 100;
+    private static final long WARM_UP_MILLIS = 40_000;
+
+    private static GangPlaced placed(String job, int tasks) {
+        List<GangMember> members =
+                IntStream.range(0, tasks)
+                        .mapToObj(
+                                i ->
+                                        new GangMember(
+                                                Integer.toString(i),
+                                                "worker-" + (100 + i),
+                                                "10.20.30." + (100 + i) + ":7400",
+                                                job + ".123456.7890." + i,
+                                                List.of(0)))
+                        .toList();
+        return new GangPlaced(job, job + ".123456.7890", 123_456, members, null, 4, 8_192, 0, 1);
+    }
+
+    private static int size(JobRecord record) {
+        return Json.write(JobRecords.write(record)).length;
+    }
+
+    @Test
+    void recordSizes() {
+        JobSpec spec = JobTestBed.spec(8, 1, 7_200);
+        System.out.printf("record job-accepted: %d bytes%n", size(new JobAccepted("j", spec, 1)));
+        for (int tasks : new int[] {1, 8, 32}) {
+            System.out.printf(
+                    "record gang-placed, %d tasks: %d bytes%n", tasks, size(placed("j", tasks)));
+        }
+        GangEnded end =
+                new GangEnded(
+                        "j", "j.1.1", 1, GangResult.SUCCEEDED, "every task ended", null, 0, 1);
+        System.out.printf("record gang-ended: %d bytes%n", size(end));
+    }
+
+    @Test
+    void foldOfOneMonth() {
+        List<LogRecord> records = new ArrayList<>();
+        for (int i = 0; i < JOBS; i++) {
+            String job = "job-" + i;
+            JobSpec spec = JobTestBed.spec(7, 1, 7_200);
+            long at = i * 233_000L;
+            add(records, at, new JobAccepted(job, spec, at));
+            add(records, at, placed(job, 7));
+            add(
+                    records,
+                    at,
+                    new GangEnded(
+                            job,
+                            job + ".123456.7890",
+                            123_456,
+                            GangResult.SUCCEEDED,
+                            "every task ended with success",
+                            null,
+                            0,
+                            at));
+        }
+        long bytes = records.stream().mapToLong(r -> Json.write(r).length).sum();
+        for (int round = 0; round < 3; round++) {
+            long start = System.nanoTime();
+            JobLedger ledger = new JobLedger();
+            records.forEach(ledger::apply);
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            System.out.printf(
+                    "fold of %d jobs, %d records, %d bytes: %d ms, %d jobs kept%n",
+                    JOBS, records.size(), bytes, millis, ledger.jobs(j -> true).size());
+        }
+    }
+
+    private static void add(List<LogRecord> records, long at, JobRecord record) {
+        int offset = records.size();
+        records.add(new LogRecord(offset, at, "record-" + offset, JobRecords.write(record)));
+    }
+
+    @Test
+    void heapOfJobs() throws Exception {
+        JobBook book = new JobBook();
+        long before = usedHeap();
+        for (int i = 0; i < 2_000; i++) {
+            String job = "job-" + i;
+            JobSpec spec = JobTestBed.spec(7, 1, 7_200);
+            book.apply(record(2 * i, new JobAccepted(job, spec, 1)));
+            book.apply(record(2 * i + 1, placed(job, 7)));
+        }
+        long after = usedHeap();
+        System.out.printf(
+                "heap of a placed job with 7 tasks: %d bytes (%d jobs)%n",
+                (after - before) / 2_000, book.jobs().size());
+    }
+
+    private static LogRecord record(int offset, JobRecord record) {
+        byte[] text = Json.write(JobRecords.write(record));
+        return new LogRecord(
+                offset,
+                0,
+                "r" + offset,
+                Json.read(text, com.fasterxml.jackson.databind.JsonNode.class));
+    }
+
+    private static long usedHeap() throws InterruptedException {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+            Thread.sleep(100);
+        }
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    /** Counts the bytes of requests as the client of the daemon sends them. */
+    @Test
+    void messageSizes() throws Exception {
+        String lease = "job-1234.123456.7890.3";
+        Request report = request("GET", "/v1/worker", null);
+        System.out.printf("request of a report: %d bytes%n", bytesOf(report));
+        for (int leases : new int[] {1, 5}) {
+            List<String> names = IntStream.range(0, leases).mapToObj(i -> lease + i).toList();
+            Request renewal =
+                    request(
+                            "POST",
+                            "/v1/leases/renew",
+                            new org.fescueloom.wire.LeaseRenewal(names, 6_000));
+            System.out.printf(
+                    "request of a renewal, %d leases: %d bytes%n", leases, bytesOf(renewal));
+        }
+        for (int leases : new int[] {0, 1, 5}) {
+            List<LeaseReport> held =
+                    IntStream.range(0, leases).mapToObj(i -> held(lease + i)).toList();
+            byte[] body = Json.write(new WorkerReport("worker-123", 1_700_000_000_000L, 9, held));
+            System.out.printf("body of a report, %d leases: %d bytes%n", leases, body.length);
+        }
+        Request question = request("GET", KeeperListRoutes.PATH + "?digest=1a2b3c4d", null);
+        System.out.printf("request for the keeper list: %d bytes%n", bytesOf(question));
+    }
+
+    private static LeaseReport held(String lease) {
+        TaskReport task = new TaskReport("3", TaskState.RUNNING, 3_600_000L, 3_000_000L);
+        return new LeaseReport(
+                lease, "job-1234", "job-1234.123456.7890", List.of(0), 4_321, List.of(task));
+    }
+
+    private static Request request(String method, String path, Object body) {
+        return org.fescueloom.daemon.http.HttpClient.request(method, "127.0.0.1:1", path, body)
+                .build();
+    }
+
+    private static int bytesOf(Request request) throws Exception {
+        try (ServerSocket server = new ServerSocket(0)) {
+            Request local =
+                    request.newBuilder()
+                            .url(request.url().newBuilder().port(server.getLocalPort()).build())
+                            .build();
+            Thread sender =
+                    new Thread(
+                            () -> {
+                                try (var answer =
+                                        new OkHttpClient.Builder()
+                                                .callTimeout(Duration.ofMillis(500))
+                                                .build()
+                                                .newCall(local)
+                                                .execute()) {
+                                    answer.code();
+                                } catch (java.io.IOException expected) {
+                                    // the server never answers
+                                }
+                            });
+            sender.start();
+            try (var socket = server.accept()) {
+                int total = 0;
+                byte[] buffer = new byte[4_096];
+                for (int n = 0; n >= 0; n = socket.getInputStream().read(buffer)) {
+                    total += n;
+                }
+                return total;
+            } finally {
+                sender.join();
+            }
+        }
+    }
+
+    /** Measures processor time and memory of warm processes, with gangs and without. */
+    @Test
+    void costOfKeeping() throws Exception {
+        for (int workers : new int[] {6, 24}) {
+            try (JobTestBed bed = new JobTestBed(1, 2, workers)) {
+                for (int i = 0; i < workers; i++) {
+                    bed.submit("gang-" + i, JobTestBed.spec(4, 1, 600));
+                }
+                for (int i = 0; i < workers; i++) {
+                    bed.awaitRunning("gang-" + i, 4);
+                }
+                Thread.sleep(WARM_UP_MILLIS);
+                report(bed, "agent-0", workers, "with");
+                report(bed, "entry-0", workers, "with");
+                for (int i = 0; i < workers; i++) {
+                    bed.call("DELETE", "/v1/jobs/gang-" + i, null);
+                }
+                Thread.sleep(WARM_UP_MILLIS / 4);
+                report(bed, "agent-0", workers, "without");
+                report(bed, "entry-0", workers, "without");
+            }
+        }
+    }
+
+    private static void report(JobTestBed bed, String member, int workers, String how)
+            throws Exception {
+        long pid = bed.daemons.get(member).pid();
+        long before = ticks(pid);
+        long start = System.nanoTime();
+        Thread.sleep(20_000);
+        double seconds = (System.nanoTime() - start) / 1e9;
+        double share = (ticks(pid) - before) / (double) TICKS_PER_SECOND / seconds;
+        System.out.printf(
+                "%s %s gangs on %d workers: %.2f%% of a core, %s%n",
+                member, how, workers, 100 * share, resident(pid));
+    }
+
+    private static long ticks(long pid) throws Exception {
+        String text = Files.readString(Path.of("/proc", "" + pid, "stat"), StandardCharsets.UTF_8);
+        String[] fields = text.substring(text.lastIndexOf(')') + 2).split(" ");
+        return Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+    }
+
+    private static String resident(long pid) throws Exception {
+        return Files.readAllLines(Path.of("/proc", "" + pid, "status")).stream()
+                .filter(line -> line.startsWith("VmRSS"))
+                .findFirst()
+                .orElseThrow()
+                .replaceAll("\\s+", " ");
+    }
+}
