Refuse bodies beyond a budget in place of running out of direct memory

Cause: the new end-to-end test (50 callers, bodies to 1 MiB, two entries) made an entry run out of direct memory (16 MiB); connections broke without an answer. Jooby keeps a copy of each body until its answer is written. Ruled out: a larger direct memory alone (breaks again with more callers); pausing the reads (an answer that the request is not run must come at once). Change: a handler takes each body's length out of a budget of 12 MiB until the answer is written; a body beyond it is read, dropped and answered 503 overloaded, not run.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/RawBodies.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionHandlers.java
@@ -2,6 +2,7 @@
 
 import io.jooby.netty.NettyServer;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -11,32 +12,35 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.concurrent.EventExecutor;
 import java.lang.reflect.Field;
+import java.util.function.Supplier;
 
 /**
- * Keeps the server library from parsing the bodies of HTML forms.
+ * Adds handlers of our own to the connections of the server library, which has no call for that.
  *
- * <p>Jooby decodes a body whose content type is that of a form and drops its bytes. A prefix before
- * the content type, which {@link HttpCall#header} removes again, makes it take the body as it is.
+ * <p>One keeps the bodies that the server holds within a budget. The other keeps the library from
+ * parsing the bodies of HTML forms: Jooby decodes a body whose content type is that of a form and
+ * drops its bytes. A prefix before the content type, which {@link HttpCall#header} removes again,
+ * makes it take the body as it is.
  */
-final class RawBodies {
+final class ConnectionHandlers {
     /** Stands before every content type that the server library sees. */
     private static final String PREFIX = "raw ";
 
     private static final String SERVER_HANDLER = "handler";
 
-    private RawBodies() {}
+    private ConnectionHandlers() {}
 
     /**
-     * Makes all connections that a server accepts from now on take every body as it is.
+     * Adds the handlers to all connections that a server accepts from now on.
      *
      * @param server the server, started, not null
+     * @param budget makes the handler that keeps a connection within the budget, not null
      * @throws IllegalStateException if this version of the library hides its event loop
      */
-    static void install(NettyServer server) {
+    static void install(NettyServer server, Supplier<ChannelHandler> budget) {
         for (EventExecutor executor : acceptors(server)) {
             SingleThreadEventLoop loop = (SingleThreadEventLoop) executor;
-            loop.submit(() -> loop.registeredChannelsIterator().forEachRemaining(RawBodies::listen))
-                    .syncUninterruptibly();
+            loop.submit(() -> listen(loop, budget)).syncUninterruptibly();
         }
     }
 
@@ -60,27 +64,41 @@
         }
     }
 
-    private static void listen(Channel listener) {
-        listener.pipeline().addFirst(new AcceptHandler());
+    private static void listen(SingleThreadEventLoop loop, Supplier<ChannelHandler> budget) {
+        loop.registeredChannelsIterator()
+                .forEachRemaining(c -> c.pipeline().addFirst(new AcceptHandler(budget)));
     }
 
     private static final class AcceptHandler extends ChannelInboundHandlerAdapter {
+        private final Supplier<ChannelHandler> budget;
+
+        AcceptHandler(Supplier<ChannelHandler> budget) {
+            this.budget = budget;
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            ((Channel) message).pipeline().addLast(new ConnectionInitializer());
+            ((Channel) message).pipeline().addLast(new ConnectionInitializer(budget));
             context.fireChannelRead(message);
         }
     }
 
     private static final class ConnectionInitializer extends ChannelInitializer<Channel> {
+        private final Supplier<ChannelHandler> budget;
+
+        ConnectionInitializer(Supplier<ChannelHandler> budget) {
+            this.budget = budget;
+        }
+
         @Override
         protected void initChannel(Channel channel) {
-            channel.eventLoop().execute(() -> addHandler(channel));
+            channel.eventLoop().execute(() -> addHandlers(channel));
         }
 
-        private static void addHandler(Channel channel) {
+        private void addHandlers(Channel channel) {
             if (channel.pipeline().get(SERVER_HANDLER) != null) {
                 channel.pipeline().addBefore(SERVER_HANDLER, null, new ContentTypeHandler());
+                channel.pipeline().addBefore(SERVER_HANDLER, null, budget.get());
             }
         }
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
@@ -58,7 +58,7 @@
      * @return the value, or empty if it is missing
      */
     public Optional<String> header(String name) {
-        return optional(context.header(name)).map(RawBodies::original);
+        return optional(context.header(name)).map(ConnectionHandlers::original);
     }
 
     /**
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -25,6 +25,13 @@
     /** Keeps the native transport off: it unpacks a file, and VMs have no disks. */
     private static final String NO_NATIVE_PROPERTY = "io.netty.transport.noNative";
 
+    private static final long RETRY_MILLIS = 200;
+
+    /** The bytes of request bodies in progress; callers beyond it are refused. */
+    private static final long BODY_BUDGET_BYTES = 12L << 20;
+
+    private final BodyBudget budget;
+    private final int maxBodyBytes;
     private final Jooby app = new Jooby();
     private final ServerOptions options = new ServerOptions();
     private Server server;
@@ -44,6 +51,8 @@
         }
         System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false");
         System.setProperty(NO_NATIVE_PROPERTY, "true");
+        this.maxBodyBytes = maxBodyBytes;
+        budget = new BodyBudget(Math.max(BODY_BUDGET_BYTES, maxBodyBytes));
         options.setHost(Objects.requireNonNull(host, "host"));
         options.setPort(port);
         options.setIoThreads(IO_THREADS);
@@ -72,7 +81,7 @@
     public void start() {
         NettyServer netty = new NettyServer().setOptions(options);
         server = netty.start(app);
-        RawBodies.install(netty);
+        ConnectionHandlers.install(netty, () -> new BodyBudgetHandler(budget, maxBodyBytes));
     }
 
     /**
@@ -95,6 +104,7 @@
     private static Object dispatch(Context context, HttpHandler handler) {
         CompletableFuture<HttpReply> reply;
         try {
+            requireBody(context);
             reply = handler.handle(new HttpCall(context));
         } catch (RuntimeException e) {
             reply = CompletableFuture.failedFuture(e);
@@ -107,6 +117,13 @@
         return context;
     }
 
+    private static void requireBody(Context context) {
+        if (!context.header(BodyBudgetHandler.DROPPED).isMissing()) {
+            throw new SchedulerException(
+                    FailureType.OVERLOADED, "too many bytes in progress", RETRY_MILLIS);
+        }
+    }
+
     /** Sends from outside the connection's event loop: the library flushes only such replies. */
     private static void sendLater(Context context, HttpReply reply, Throwable error) {
         if (context.isInIoThread()) {
