--- a/fescueloom-core/src/main/java/org/fescueloom/placement/BlockClaimer.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/BlockClaimer.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.fescueloom.config.Adjacency;
 import org.fescueloom.job.BlockClaim;
 import org.fescueloom.job.JobSpec;
 
@@ -39,10 +40,8 @@
      */
     Optional<List<BlockClaim>> claim(JobSpec spec, List<TaskPlacement> members) {
         Map<Integer, Integer> needs = new TreeMap<>();
-        for (TaskPlacement member : members) {
-            int worker = topology.indexOf(member.worker());
-            needs.merge(worker, state.share(spec, worker), Integer::sum);
-        }
+        members.forEach(m -> needs.merge(topology.indexOf(m.worker()), 1, Integer::sum));
+        needs.replaceAll((worker, tasks) -> state.share(spec, worker, tasks));
         List<BlockUse> covering = covering(spec);
         if (covering.isEmpty()) {
             return claimSeveral(spec.customer(), needs);
@@ -62,8 +61,8 @@
     }
 
     /**
-     * Returns blocks of a gang's customer that cover the whole gang; only those that it uses up, if
-     * there are any.
+     * Returns blocks of a gang's customer that cover the whole gang. If it would use some up, only
+     * those are returned, and of these only the ones with the loosest adjacency.
      *
      * @param spec the gang, not null
      * @return some blocks of different kinds, the best first
@@ -71,16 +70,23 @@
     List<BlockUse> covering(JobSpec spec) {
         int total = spec.tasks() * spec.acceleratorsPerTask();
         List<BlockUse> found = new ArrayList<>();
-        boolean exact = false;
+        Optional<Adjacency> exact = Optional.empty();
         for (BlockUse use : state.blocksOf(spec.customer())) {
             if (use.unclaimed() >= total) {
                 found.add(use);
-                exact |= isExact(use, spec, total);
+                boolean looser =
+                        exact.isEmpty() || use.block().adjacency().compareTo(exact.get()) > 0;
+                if (isExact(use, spec, total) && looser) {
+                    exact = Optional.of(use.block().adjacency());
+                }
             }
         }
-        if (exact) {
-            found.removeIf(use -> !isExact(use, spec, total));
-        }
+        exact.ifPresent(
+                loosest ->
+                        found.removeIf(
+                                use ->
+                                        !isExact(use, spec, total)
+                                                || use.block().adjacency() != loosest));
         found.sort(
                 Comparator.comparing(
                                 (BlockUse use) ->
--- a/fescueloom-core/src/main/java/org/fescueloom/placement/GuaranteeState.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/GuaranteeState.java
@@ -140,20 +140,21 @@
     }
 
     /**
-     * Returns how many accelerators of a worker one task stands for: those that it uses, or more if
-     * its part of the cores or of the memory is larger.
+     * Returns how many accelerators of a worker some tasks stand for: those that they use, or more
+     * if their part of the cores or of the memory is larger.
      *
      * @param spec the gang, not null
      * @param worker the index of the worker
+     * @param tasks how many of its tasks run there
      * @return the number, at least 0
      */
-    int share(JobSpec spec, int worker) {
+    int share(JobSpec spec, int worker, int tasks) {
         WorkerView view = topology.worker(worker);
         int accelerators = view.accelerators();
-        long byCpus = part(spec.cpus(), view.cpus(), accelerators);
-        long byMemory = part(spec.memoryMb(), view.memoryMb(), accelerators);
-        long largest = Math.max(spec.acceleratorsPerTask(), Math.max(byCpus, byMemory));
-        return (int) Math.min(Integer.MAX_VALUE, largest);
+        long byCpus = part((long) tasks * spec.cpus(), view.cpus(), accelerators);
+        long byMemory = part(tasks * spec.memoryMb(), view.memoryMb(), accelerators);
+        long used = (long) tasks * spec.acceleratorsPerTask();
+        return (int) Math.max(used, Math.max(byCpus, byMemory));
     }
 
     private static long part(long asked, long whole, int accelerators) {
--- a/fescueloom-core/src/main/java/org/fescueloom/placement/JobQueue.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/JobQueue.java
@@ -21,7 +21,7 @@
      * Creates a queue.
      *
      * @param input the waiting jobs and what is known of run times, not null
-     * @param shortestFirst whether small and short jobs pass larger ones
+     * @param shortestFirst whether short jobs pass longer ones
      */
     JobQueue(PlanInput input, boolean shortestFirst) {
         this.input = input;
@@ -34,7 +34,7 @@
         return input.waiting().stream().sorted(urgentFirst.thenComparing(ARRIVAL)).toList();
     }
 
-    /** Returns the jobs in the order of decision: urgent, overdue by arrival, short and small. */
+    /** Returns the jobs in the order of decision: urgent, overdue by arrival, short. */
     List<WaitingJob> byPriority() {
         if (!shortestFirst) {
             return byArrival();
@@ -42,7 +42,7 @@
         Comparator<WaitingJob> order =
                 Comparator.comparing((WaitingJob job) -> !job.spec().urgent())
                         .thenComparing(job -> !isOverdue(job))
-                        .thenComparingLong(job -> isOverdue(job) ? 0L : area(job))
+                        .thenComparingLong(job -> isOverdue(job) ? 0L : expectedMillis(job))
                         .thenComparing(ARRIVAL);
         return input.waiting().stream().sorted(order).toList();
     }
@@ -60,8 +60,4 @@
                 .expectedMillis(
                         job.spec().customer(), job.spec().serviceClass(), job.remainingMillis());
     }
-
-    private long area(WaitingJob job) {
-        return expectedMillis(job) * Math.max(1, job.totalAccelerators());
-    }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/placement/PlanningRound.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/PlanningRound.java
@@ -19,8 +19,10 @@
  * if urgent, after other gangs of its customer are stopped.
  */
 final class PlanningRound {
-    private static final int MAX_RESERVATIONS = 2;
+    private static final int MAX_RESERVATIONS = 1;
     private static final int MAX_EVICTIONS_TRIED = 16;
+    private static final int LONGER_FACTOR = 3;
+    private static final int LEAST_GAIN = 2;
     private static final int MAX_SECOND_TRIES = 3;
     private static final long STOP_MILLIS = 2_000L;
 
@@ -112,7 +114,7 @@
 
     private boolean needsReservation(WaitingJob job) {
         return reservations.size() < MAX_RESERVATIONS
-                && queue.isOverdue(job)
+                && job.totalAccelerators() > 0
                 && isDue(job)
                 && feasibility.isFeasible(job.spec())
                 && fitter.fit(free, job.spec(), job.avoidedWorkers()).isEmpty();
@@ -139,7 +141,12 @@
     }
 
     private boolean place(WaitingJob job) {
-        return claimFree(job) || borrowFree(job) || claimByEviction(job) || evictForUrgent(job);
+        return claimFree(job, openTo(job))
+                || borrowFree(job)
+                || claimFree(job, free)
+                || claimByEviction(job)
+                || evictForUrgent(job)
+                || evictLonger(job);
     }
 
     private void leaveWaiting(WaitingJob job) {
@@ -161,11 +168,11 @@
                 shape -> fitter.fit(whole, job.spec(), Set.of()).isPresent());
     }
 
-    private boolean claimFree(WaitingJob job) {
+    private boolean claimFree(WaitingJob job, Capacity open) {
         if (!mayClaim(job)) {
             return false;
         }
-        Optional<List<TaskPlacement>> anywhere = fitter.fit(free, job.spec(), job.avoidedWorkers());
+        Optional<List<TaskPlacement>> anywhere = fitter.fit(open, job.spec(), job.avoidedWorkers());
         if (anywhere.isEmpty()) {
             return false;
         }
@@ -174,7 +181,7 @@
         }
         for (int[] kept : keptPlaces(job)) {
             Optional<List<TaskPlacement>> there =
-                    fitter.fit(new LimitedCapacity(free, kept), job.spec(), job.avoidedWorkers());
+                    fitter.fit(new LimitedCapacity(open, kept), job.spec(), job.avoidedWorkers());
             if (there.isPresent() && startClaimed(job, there.get())) {
                 return true;
             }
@@ -198,13 +205,17 @@
     }
 
     private boolean borrowFree(WaitingJob job) {
-        long end = input.nowMillis() + queue.expectedMillis(job);
-        Capacity open = reservations.openUntil(job.job(), end);
-        Optional<List<TaskPlacement>> members = fitter.fit(open, job.spec(), job.avoidedWorkers());
+        Optional<List<TaskPlacement>> members =
+                fitter.fit(openTo(job), job.spec(), job.avoidedWorkers());
         members.ifPresent(m -> start(job, m, List.of()));
         return members.isPresent();
     }
 
+    /** Returns what is free and not kept for another job that starts before this one ends. */
+    private Capacity openTo(WaitingJob job) {
+        return reservations.openUntil(job.job(), input.nowMillis() + queue.expectedMillis(job));
+    }
+
     private boolean claimByEviction(WaitingJob job) {
         if (!mayClaim(job)) {
             return false;
@@ -249,6 +260,34 @@
         return true;
     }
 
+    /** Stops longer borrowers, with a checkpoint, where that shortens the mean completion time. */
+    private boolean evictLonger(WaitingJob job) {
+        if (!policy.has(Feature.COMPACTION)) {
+            return false;
+        }
+        long expected = queue.expectedMillis(job);
+        long saved = expectedWaitMillis(job);
+        Predicate<RunningGang> longer =
+                gang -> gang.isLongerThan(LONGER_FACTOR * expected, input.nowMillis());
+        for (Eviction eviction : evictions.find(job, null, longer)) {
+            long lost = eviction.victims().size() * (expected + RunningGang.RESTART_MILLIS);
+            boolean pays = !eviction.victims().isEmpty() && saved >= LEAST_GAIN * lost;
+            if (pays) {
+                evict(job, eviction, List.of(), PreemptReason.SHORTER_WORK);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns how long a job is expected to wait: until the gangs that it needs have ended. */
+    private long expectedWaitMillis(WaitingJob job) {
+        return reservations
+                .earliestStart(job, gangs.all(), input.nowMillis())
+                .map(start -> start - input.nowMillis())
+                .orElse(0L);
+    }
+
     private void freeClaims(RunningGang gang) {
         if (gang.isClaimed()) {
             guarantees.free(gang.allocation().spec().customer(), gang.allocation().claims());
--- a/fescueloom-core/src/main/java/org/fescueloom/placement/PreemptReason.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/PreemptReason.java
@@ -9,8 +9,8 @@
     GUARANTEE_CLAIMED,
     /** Urgent work needs the accelerators that the gang has borrowed. */
     URGENT_WORK,
-    /** The gang holds up a larger job by where it stands; it can run elsewhere. */
-    COMPACTION;
+    /** The gang has borrowed accelerators for long, and a much shorter job waits for them. */
+    SHORTER_WORK;
 
     /**
      * Returns the text that stands for this reason in JSON.
--- a/fescueloom-core/src/main/java/org/fescueloom/placement/ReservationBook.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/ReservationBook.java
@@ -38,12 +38,61 @@
      * @return the reservation, or empty if the job does not fit even when all gangs have ended
      */
     Optional<Reservation> reserve(WaitingJob job, List<RunningGang> gangs, long nowMillis) {
+        List<RunningGang> byEnd = byEnd(gangs, nowMillis);
+        int ended = leastEnded(job, byEnd);
+        if (ended > byEnd.size()) {
+            return Optional.empty();
+        }
+        Reservation reservation =
+                Reservation.of(
+                        job,
+                        timeOfEnd(byEnd, ended, nowMillis),
+                        placeAfter(job, byEnd, ended).orElseThrow(),
+                        topology,
+                        free,
+                        freeAfter(byEnd, ended));
+        reservations.add(reservation);
+        return Optional.of(reservation);
+    }
+
+    /**
+     * Returns when a job could start by the expected ends of what runs.
+     *
+     * @param job the job, not null
+     * @param gangs what runs, not null
+     * @param nowMillis the time, in milliseconds since the epoch
+     * @return the time, or empty if the job does not fit even when all gangs have ended
+     */
+    Optional<Long> earliestStart(WaitingJob job, List<RunningGang> gangs, long nowMillis) {
+        Optional<Reservation> own = of(job.job());
+        if (own.isPresent()) {
+            return own.map(Reservation::fromMillis);
+        }
+        List<RunningGang> byEnd = byEnd(gangs, nowMillis);
+        int ended = leastEnded(job, byEnd);
+        return ended > byEnd.size()
+                ? Optional.empty()
+                : Optional.of(timeOfEnd(byEnd, ended, nowMillis));
+    }
+
+    private static List<RunningGang> byEnd(List<RunningGang> gangs, long nowMillis) {
         List<RunningGang> byEnd = new ArrayList<>(gangs);
         byEnd.sort(Comparator.comparingLong(g -> g.expectedEndMillis(nowMillis)));
+        return byEnd;
+    }
+
+    private static long timeOfEnd(List<RunningGang> byEnd, int ended, long nowMillis) {
+        return ended == 0 ? nowMillis : byEnd.get(ended - 1).expectedEndMillis(nowMillis);
+    }
+
+    /**
+     * Returns how many gangs must end before a job fits, one more than there are if it never does.
+     */
+    private int leastEnded(WaitingJob job, List<RunningGang> byEnd) {
         int low = 0;
         int high = byEnd.size();
         if (placeAfter(job, byEnd, high).isEmpty()) {
-            return Optional.empty();
+            return high + 1;
         }
         while (low < high) {
             int middle = (low + high) >>> 1;
@@ -53,17 +102,7 @@
                 low = middle + 1;
             }
         }
-        long from = low == 0 ? nowMillis : byEnd.get(low - 1).expectedEndMillis(nowMillis);
-        Reservation reservation =
-                Reservation.of(
-                        job,
-                        from,
-                        placeAfter(job, byEnd, low).orElseThrow(),
-                        topology,
-                        free,
-                        freeAfter(byEnd, low));
-        reservations.add(reservation);
-        return Optional.of(reservation);
+        return low;
     }
 
     /**
--- a/fescueloom-core/src/main/java/org/fescueloom/placement/RunningGang.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/RunningGang.java
@@ -2,9 +2,13 @@
 
 /** Follows one gang through a planning round. Mutable. */
 final class RunningGang {
+    /** What it costs to resume a gang from its checkpoint, in milliseconds. */
+    static final long RESTART_MILLIS = 60_000L;
+
     private static final long ENDING_MILLIS = 2_000L;
     private static final long OVERRUN_MILLIS = 60_000L;
-    private static final long RESTART_MILLIS = 60_000L;
+
+    private static final long LEAST_RUN_MILLIS = 600_000L;
     private static final long URGENT_FACTOR = 1_000L;
 
     private final Allocation allocation;
@@ -62,6 +66,14 @@
         return nowMillis + Math.max(OVERRUN_MILLIS, elapsed / 2);
     }
 
+    /** Tells whether the gang is a borrower that can be resumed and still runs for longer. */
+    boolean isLongerThan(long millis, long nowMillis) {
+        boolean resumable = allocation.spec().checkpointable() && !allocation.spec().urgent();
+        boolean settled = nowMillis - allocation.startedAtMillis() >= LEAST_RUN_MILLIS;
+        boolean longer = expectedEndMillis(nowMillis) - nowMillis > millis;
+        return resumable && settled && longer && !claimed && !fresh && !allocation.ending();
+    }
+
     /** Returns the work lost when the gang is stopped, in accelerator milliseconds. */
     long lossMillis(long nowMillis) {
         if (allocation.ending() || fresh) {
--- a/fescueloom-core/src/main/java/org/fescueloom/placement/WorkerOrder.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/WorkerOrder.java
@@ -14,7 +14,8 @@
         @Override
         long cost(Topology topology, Capacity capacity, int worker, boolean accelerated) {
             int free = Long.bitCount(capacity.accelerators(worker));
-            return accelerated ? free : free * CPU_RANGE + Math.min(capacity.cpus(worker), CPU_MAX);
+            int cpus = Math.max(0, Math.min(capacity.cpus(worker), CPU_MAX));
+            return accelerated ? free : free * CPU_RANGE + cpus;
         }
     };
 
--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/placement/FeedResult.java
@@ -0,0 +1,53 @@
+package org.fescueloom.placement;
+
+import java.util.List;
+
+/**
+ * Holds what one run of a workload gave.
+ *
+ * @param completionMillis the time from submission to success of each job
+ * @param largeWaitMillis the time from submission to the first start of each large job
+ * @param fragmentation the mean share of free accelerators that the largest waiting job cannot use
+ * @param utilization the mean share of accelerators in service that ran something
+ * @param unfinished how many jobs had not ended when the feed ended
+ * @param failed how many jobs ended as failed
+ * @param rejected how many jobs were refused
+ * @param preempted how many gangs were preempted
+ * @param moved how many gangs were moved
+ */
+record FeedResult(
+        List<Long> completionMillis,
+        List<Long> largeWaitMillis,
+        double fragmentation,
+        double utilization,
+        int unfinished,
+        int failed,
+        int rejected,
+        int preempted,
+        int moved) {
+    double meanCompletionSeconds() {
+        return mean(completionMillis);
+    }
+
+    double p99CompletionSeconds() {
+        return quantile(completionMillis, 0.99);
+    }
+
+    double meanLargeWaitSeconds() {
+        return mean(largeWaitMillis);
+    }
+
+    double longestLargeWaitSeconds() {
+        return quantile(largeWaitMillis, 1.0);
+    }
+
+    private static double mean(List<Long> millis) {
+        return millis.stream().mapToLong(m -> m).average().orElse(0) / 1_000;
+    }
+
+    private static double quantile(List<Long> millis, double share) {
+        List<Long> sorted = millis.stream().sorted().toList();
+        int index = (int) Math.ceil(share * sorted.size()) - 1;
+        return sorted.isEmpty() ? 0 : sorted.get(Math.max(0, index)) / 1_000.0;
+    }
+}
--- a/fescueloom-core/src/test/java/org/fescueloom/placement/GuaranteeInvariantTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/placement/GuaranteeInvariantTest.java
@@ -58,7 +58,7 @@
                     plan.decisions(WaitForCapacity.class).stream()
                             .anyMatch(
                                     w -> w.job().equals(id) && w.reason() == WaitReason.PREEMPTING);
-            assertThat(started || preempting).as(id + " of " + plan).isTrue();
+            assertThat(started || preempting).as("%s of %s on %s", id, plan, run).isTrue();
         }
         run.running.values().removeIf(Allocation::ending);
         run.round();
--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/placement/PolicyComparisonTest.java
@@ -0,0 +1,64 @@
+package org.fescueloom.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongFunction;
+import java.util.function.ToDoubleFunction;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Compares all policies on the same seeded workloads and prints one line for each. */
+@Tag("benchmark")
+class PolicyComparisonTest {
+    private static final int SMALL_SEEDS = 5;
+    private static final int SMALL_LARGE_JOB = 16;
+    private static final int DESIGN_LARGE_JOB = 32;
+
+    @Test
+    void weaveplan() {
+        compare("weaveplan", Workloads::weaveplan, SMALL_SEEDS, SMALL_LARGE_JOB);
+    }
+
+    @Test
+    void iroMatch() {
+        compare("iro-match", Workloads::iroMatch, SMALL_SEEDS, SMALL_LARGE_JOB);
+    }
+
+    @Test
+    void designSize() {
+        compare("design-size", Workloads::designSize, 1, DESIGN_LARGE_JOB);
+    }
+
+    private static void compare(
+            String name, LongFunction<Workload> workloads, int seeds, int largeAccelerators) {
+        for (PlacementPolicy policy : PlacementPolicy.values()) {
+            List<FeedResult> results = new ArrayList<>();
+            for (int seed = 1; seed <= seeds; seed++) {
+                Workload workload = workloads.apply(seed);
+                results.add(new WorkloadFeed(workload, policy.planner(), largeAccelerators).run());
+            }
+            assertThat(results).allMatch(r -> r.unfinished() == 0);
+            System.out.printf(
+                    "| %s | %s | %.0f | %.0f | %.3f | %.0f | %.0f | %.3f | %.0f | %.0f |%n",
+                    name,
+                    policy,
+                    mean(results, FeedResult::meanCompletionSeconds),
+                    mean(results, FeedResult::p99CompletionSeconds),
+                    mean(results, FeedResult::fragmentation),
+                    mean(results, FeedResult::meanLargeWaitSeconds),
+                    results.stream()
+                            .mapToDouble(FeedResult::longestLargeWaitSeconds)
+                            .max()
+                            .orElse(0),
+                    mean(results, FeedResult::utilization),
+                    mean(results, FeedResult::preempted),
+                    mean(results, FeedResult::moved));
+        }
+    }
+
+    private static double mean(List<FeedResult> results, ToDoubleFunction<FeedResult> figure) {
+        return results.stream().mapToDouble(figure).average().orElse(0);
+    }
+}
--- a/fescueloom-core/src/test/java/org/fescueloom/placement/SmallClusterRun.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/placement/SmallClusterRun.java
@@ -1,6 +1,7 @@
 package org.fescueloom.placement;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,11 @@
         return new Topology(workers);
     }
 
+    @Override
+    public String toString() {
+        return workers + " " + customers + " " + running.values();
+    }
+
     /** Ends gangs and adds jobs at random. */
     void disturb() {
         nowMillis += ROUND_MILLIS;
@@ -146,6 +152,7 @@
                 items.add(new LayoutItem(block, left, domain));
             }
         }
+        Arrays.setAll(capacity, i -> Math.max(0, capacity[i]));
         return ExhaustiveLayout.exists(topology, capacity, items);
     }
 
--- a/fescueloom-core/src/test/java/org/fescueloom/placement/SmallClusters.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/placement/SmallClusters.java
@@ -70,7 +70,7 @@
                         tasks,
                         accelerators,
                         adjacency(random),
-                        Math.max(1, accelerators),
+                        random.nextInt(2 * CPUS_PER_ACCELERATOR),
                         1,
                         60,
                         random.nextBoolean(),
--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/placement/WorkloadFeed.java
@@ -0,0 +1,310 @@
+package org.fescueloom.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fescueloom.job.FailureLedger;
+import org.fescueloom.job.WorkerStanding;
+
+/** Feeds a planner with a workload, tick by tick, and measures what comes of it. */
+final class WorkloadFeed {
+    private static final long TICK_MILLIS = 30_000L;
+    private static final long FAIL_AFTER_MILLIS = 120_000L;
+    private static final long RESTART_MILLIS = 30_000L;
+    private static final long CHECKPOINT_EVERY_MILLIS = 600_000L;
+    private static final long MOVE_PAUSE_MILLIS = 5_000L;
+    private static final long FAILURE_BACKOFF_MILLIS = 60_000L;
+    private static final long LIMIT_MILLIS = 60L * 24 * 3_600_000;
+
+    private final Workload workload;
+    private final Planner planner;
+    private final int largeAccelerators;
+    private final RunTimeEstimates estimates = new RunTimeEstimates();
+    private final FailureLedger ledger = new FailureLedger();
+    private final Map<String, Progress> waiting = new LinkedHashMap<>();
+    private final Map<String, Running> running = new LinkedHashMap<>();
+    private final List<Long> completions = new ArrayList<>();
+    private final List<Long> largeWaits = new ArrayList<>();
+    private long nowMillis;
+    private int next;
+    private int failed;
+    private int rejected;
+    private int preempted;
+    private int moved;
+    private double fragmentationSum;
+    private int fragmentationTicks;
+    private double usedSum;
+    private double serviceSum;
+
+    private static final class Progress {
+        private final SubmittedJob job;
+        private final Set<String> avoided = new HashSet<>();
+        private long doneMillis;
+        private long notBeforeMillis;
+        private boolean started;
+
+        Progress(SubmittedJob job) {
+            this.job = job;
+        }
+    }
+
+    private record Running(
+            Progress progress, StartGang start, long startMillis, long endMillis, boolean fails) {}
+
+    WorkloadFeed(Workload workload, Planner planner, int largeAccelerators) {
+        this.workload = workload;
+        this.planner = planner;
+        this.largeAccelerators = largeAccelerators;
+    }
+
+    FeedResult run() {
+        long lastArrival = workload.jobs().get(workload.jobs().size() - 1).arrivalMillis();
+        boolean open = true;
+        while (open) {
+            nowMillis += TICK_MILLIS;
+            endGangs();
+            loseZone();
+            arrive();
+            plan();
+            if (nowMillis <= lastArrival) {
+                measure();
+            }
+            boolean work =
+                    next < workload.jobs().size() || !running.isEmpty() || !waiting.isEmpty();
+            open = work && nowMillis < lastArrival + LIMIT_MILLIS;
+        }
+        return new FeedResult(
+                completions,
+                largeWaits,
+                fragmentationSum / Math.max(1, fragmentationTicks),
+                usedSum / Math.max(1, serviceSum),
+                waiting.size() + running.size(),
+                failed,
+                rejected,
+                preempted,
+                moved);
+    }
+
+    private void arrive() {
+        while (next < workload.jobs().size()
+                && workload.jobs().get(next).arrivalMillis() <= nowMillis) {
+            SubmittedJob job = workload.jobs().get(next++);
+            waiting.put(job.id(), new Progress(job));
+        }
+    }
+
+    private void endGangs() {
+        for (Running gang : List.copyOf(running.values())) {
+            if (gang.endMillis() <= nowMillis) {
+                running.remove(gang.start().job());
+                if (gang.fails()) {
+                    fail(gang);
+                } else {
+                    succeed(gang);
+                }
+            }
+        }
+    }
+
+    private void succeed(Running gang) {
+        SubmittedJob job = gang.progress().job;
+        ledger.recordSuccess(job.id(), workers(gang));
+        estimates.record(
+                job.spec().customer(),
+                job.spec().serviceClass(),
+                job.spec().runSeconds() * 1_000,
+                job.runMillis());
+        completions.add(gang.endMillis() - job.arrivalMillis());
+    }
+
+    private void fail(Running gang) {
+        Progress progress = gang.progress();
+        List<String> atFault = new ArrayList<>(workers(gang));
+        if (!progress.job.faulty()) {
+            atFault.retainAll(workload.badWorkers());
+        }
+        if (ledger.recordFailure(progress.job.id(), atFault, nowMillis)) {
+            failed++;
+            return;
+        }
+        progress.avoided.addAll(atFault);
+        progress.notBeforeMillis = nowMillis + FAILURE_BACKOFF_MILLIS;
+        waiting.put(progress.job.id(), progress);
+    }
+
+    private static Set<String> workers(Running gang) {
+        Set<String> workers = new HashSet<>();
+        gang.start().members().forEach(m -> workers.add(m.worker()));
+        return workers;
+    }
+
+    private boolean zoneIsOut() {
+        return nowMillis >= workload.outFromMillis() && nowMillis < workload.outUntilMillis();
+    }
+
+    private void loseZone() {
+        if (!zoneIsOut()) {
+            return;
+        }
+        Set<String> lost = new HashSet<>();
+        workload.workers().stream()
+                .filter(w -> w.zone().equals(workload.zoneOut()))
+                .forEach(w -> lost.add(w.worker()));
+        for (Running gang : List.copyOf(running.values())) {
+            if (workers(gang).stream().anyMatch(lost::contains)) {
+                long ran = nowMillis - gang.startMillis();
+                stop(gang, ran / CHECKPOINT_EVERY_MILLIS * CHECKPOINT_EVERY_MILLIS, 0);
+            }
+        }
+    }
+
+    private void stop(Running gang, long savedMillis, long pauseMillis) {
+        Progress progress = gang.progress();
+        running.remove(progress.job.id());
+        if (progress.job.spec().checkpointable()) {
+            long useful = Math.max(0, savedMillis - RESTART_MILLIS);
+            progress.doneMillis = Math.min(progress.job.runMillis(), progress.doneMillis + useful);
+        }
+        progress.notBeforeMillis = nowMillis + pauseMillis;
+        waiting.put(progress.job.id(), progress);
+    }
+
+    private void plan() {
+        List<WaitingJob> jobs = new ArrayList<>();
+        waiting.values().forEach(p -> jobs.add(waitingJob(p)));
+        List<Allocation> allocations = new ArrayList<>();
+        running.values().forEach(g -> allocations.add(allocation(g)));
+        ClusterView cluster = new ClusterView(views(), allocations);
+        Plan plan =
+                planner.plan(
+                        new PlanInput(nowMillis, cluster, jobs, workload.customers(), estimates));
+        for (PreemptGang preempt : plan.decisions(PreemptGang.class)) {
+            preempted++;
+            Running gang = running.get(preempt.job());
+            stop(gang, nowMillis - gang.startMillis(), 0);
+        }
+        for (MoveGang move : plan.decisions(MoveGang.class)) {
+            moved++;
+            Running gang = running.get(move.job());
+            stop(gang, nowMillis - gang.startMillis(), MOVE_PAUSE_MILLIS + TICK_MILLIS);
+        }
+        for (RejectJob reject : plan.decisions(RejectJob.class)) {
+            rejected++;
+            waiting.remove(reject.job());
+        }
+        plan.decisions(StartGang.class).forEach(this::start);
+    }
+
+    private WaitingJob waitingJob(Progress p) {
+        long declared = p.job.spec().runSeconds() * 1_000;
+        return new WaitingJob(
+                p.job.id(),
+                p.job.spec(),
+                p.job.arrivalMillis(),
+                p.notBeforeMillis,
+                Math.max(1, declared - p.doneMillis),
+                p.avoided);
+    }
+
+    private Allocation allocation(Running gang) {
+        return new Allocation(
+                gang.start().job(),
+                gang.progress().job.spec(),
+                gang.start().members(),
+                gang.start().claims(),
+                gang.startMillis(),
+                gang.startMillis(),
+                gang.start().expectedEndMillis(),
+                false);
+    }
+
+    private List<WorkerView> views() {
+        return workload.workers().stream().map(w -> w.withCondition(condition(w))).toList();
+    }
+
+    private WorkerCondition condition(WorkerView worker) {
+        if (zoneIsOut() && worker.zone().equals(workload.zoneOut())) {
+            return WorkerCondition.ZONE_OUT;
+        }
+        WorkerStanding standing = ledger.health(worker.worker()).standing(nowMillis);
+        return switch (standing) {
+            case TRUSTED -> WorkerCondition.USABLE;
+            case ON_PROBATION -> WorkerCondition.ON_PROBATION;
+            case SET_ASIDE -> WorkerCondition.SET_ASIDE;
+        };
+    }
+
+    private void start(StartGang start) {
+        Progress progress = waiting.remove(start.job());
+        SubmittedJob job = progress.job;
+        if (!progress.started && job.accelerators() >= largeAccelerators) {
+            largeWaits.add(nowMillis - job.arrivalMillis());
+        }
+        progress.started = true;
+        boolean fails =
+                job.faulty()
+                        || start.members().stream()
+                                .anyMatch(m -> workload.badWorkers().contains(m.worker()));
+        long left = job.runMillis() - progress.doneMillis;
+        long end = nowMillis + (fails ? Math.min(left, FAIL_AFTER_MILLIS) : left);
+        running.put(start.job(), new Running(progress, start, nowMillis, end, fails));
+    }
+
+    private void measure() {
+        Topology topology = new Topology(views());
+        FreeCapacity free = FreeCapacity.whole(topology);
+        int service = 0;
+        for (int i = 0; i < topology.size(); i++) {
+            boolean open = topology.worker(i).condition().isOpen();
+            service += open ? topology.worker(i).accelerators() : 0;
+        }
+        int used = 0;
+        for (Running gang : running.values()) {
+            free.take(gang.progress().job.spec(), gang.start().members());
+            used += gang.progress().job.accelerators();
+        }
+        usedSum += used;
+        serviceSum += service;
+        SubmittedJob largest = largestWaiting(topology);
+        if (largest != null && service > used) {
+            int usable = usable(topology, free, largest);
+            fragmentationSum += 1 - Math.min(1.0, (double) usable / (service - used));
+            fragmentationTicks++;
+        }
+    }
+
+    private SubmittedJob largestWaiting(Topology topology) {
+        GangFitter fitter = new GangFitter(topology, WorkerOrder.LISTED);
+        FreeCapacity whole = FreeCapacity.whole(topology);
+        SubmittedJob largest = null;
+        for (Progress progress : waiting.values()) {
+            SubmittedJob job = progress.job;
+            boolean larger = largest == null || job.accelerators() > largest.accelerators();
+            if (larger
+                    && job.accelerators() > 0
+                    && fitter.fit(whole, job.spec(), Set.of()).isPresent()) {
+                largest = job;
+            }
+        }
+        return largest;
+    }
+
+    /** Returns how many free accelerators tasks of a job could use in its best domain. */
+    private static int usable(Topology topology, FreeCapacity free, SubmittedJob job) {
+        Map<String, Integer> none = new HashMap<>();
+        int best = 0;
+        GangFitter fitter = new GangFitter(topology, WorkerOrder.LISTED);
+        for (Domain domain : topology.domains(job.spec().adjacency())) {
+            int tasks = 0;
+            for (int worker : domain.workers()) {
+                tasks += fitter.tasksThatFit(free, job.spec(), none.keySet(), worker);
+            }
+            best = Math.max(best, tasks);
+        }
+        return best * job.spec().acceleratorsPerTask();
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/placement/Workloads.java
@@ -0,0 +1,219 @@
+package org.fescueloom.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.fescueloom.config.Adjacency;
+import org.fescueloom.config.CustomerPolicy;
+import org.fescueloom.config.GuaranteedShape;
+import org.fescueloom.job.JobSpec;
+
+/** Makes the seeded workloads that the policies are compared on. */
+final class Workloads {
+    private static final long HOUR_MILLIS = 3_600_000L;
+    private static final double FARTHEST_DECLARATION = 10.0;
+
+    private Workloads() {}
+
+    /** Lakeshore's weaveplan: many short jobs and a few large ones, all day. */
+    static Workload weaveplan(long seed) {
+        Random random = new Random(seed);
+        String[] zones = {"harbor-shed", "north-yard", "mill-floor"};
+        List<JobSpec> kinds =
+                List.of(
+                        kind("pattern", 1, 1, Adjacency.NONE, 1_200, true),
+                        kind("pattern", 1, 2, Adjacency.WORKER, 1_800, true),
+                        kind("trap", 2, 1, Adjacency.RACK, 1_800, false),
+                        kind("screen", 1, 4, Adjacency.WORKER, 3_600, true),
+                        kind("bid", 2, 8, Adjacency.RACK, 7_200, true),
+                        kind("bid", 4, 8, Adjacency.NONE, 7_200, true));
+        int[] weights = {40, 20, 15, 15, 6, 2};
+        List<CustomerPolicy> customers =
+                List.of(
+                        customer("foremen", 2, 8, Adjacency.WORKER),
+                        customer("parks", 2, 4, Adjacency.WORKER),
+                        customer("contractors", 1, 16, Adjacency.RACK),
+                        customer("depot", 2, 2, Adjacency.WORKER));
+        return workload(
+                random,
+                small(zones, 32, 128_000),
+                customers,
+                kinds,
+                weights,
+                10,
+                640,
+                48,
+                zones[1]);
+    }
+
+    /** The Council's iro-match: large comparisons at night, scans by day, slow reshades. */
+    static Workload iroMatch(long seed) {
+        Random random = new Random(seed);
+        String[] zones = {"dosan-a", "dosan-b", "dosan-c"};
+        List<JobSpec> kinds =
+                List.of(
+                        kind("scan", 1, 1, Adjacency.NONE, 900, false),
+                        kind("scan", 1, 2, Adjacency.WORKER, 1_800, true),
+                        kind("reshade", 2, 2, Adjacency.NONE, 14_400, true),
+                        kind("reshade", 1, 4, Adjacency.WORKER, 14_400, true),
+                        kind("glaze", 1, 8, Adjacency.WORKER, 7_200, true),
+                        kind("glaze", 2, 8, Adjacency.RACK, 7_200, true),
+                        kind("glaze", 8, 2, Adjacency.RACK, 7_200, true));
+        int[] weights = {30, 20, 12, 12, 12, 8, 6};
+        List<CustomerPolicy> customers =
+                List.of(
+                        customer("kilns", 2, 16, Adjacency.RACK),
+                        customer("roofers", 2, 4, Adjacency.WORKER),
+                        customer("archive", 1, 4, Adjacency.WORKER),
+                        customer("council", 1, 8, Adjacency.WORKER));
+        return workload(
+                random,
+                small(zones, 64, 256_000),
+                customers,
+                kinds,
+                weights,
+                10,
+                340,
+                48,
+                zones[2]);
+    }
+
+    /** The size to design for: 510 workers, 730 accelerators, 350 teams, 370 jobs a day. */
+    static Workload designSize(long seed) {
+        Random random = new Random(seed);
+        List<JobSpec> kinds =
+                List.of(
+                        kind("small", 1, 1, Adjacency.NONE, 4 * 3_600, true),
+                        kind("small", 2, 2, Adjacency.RACK, 4 * 3_600, true),
+                        kind("cpu", 8, 0, Adjacency.NONE, 4 * 3_600, true),
+                        kind("medium", 4, 2, Adjacency.ZONE, 5 * 3_600, true),
+                        kind("medium", 1, 8, Adjacency.WORKER, 5 * 3_600, false),
+                        kind("large", 16, 2, Adjacency.ZONE, 6 * 3_600, true),
+                        kind("large", 4, 8, Adjacency.ZONE, 6 * 3_600, true),
+                        kind("large", 32, 1, Adjacency.NONE, 6 * 3_600, true));
+        int[] weights = {25, 20, 10, 15, 14, 6, 4, 6};
+        List<CustomerPolicy> customers = new ArrayList<>();
+        for (int i = 0; i < 350; i++) {
+            int size = i % 20 == 0 ? 8 : 1;
+            customers.add(customer("team" + i, 1, size, Adjacency.WORKER));
+        }
+        return workload(
+                random, LargeCluster.workers(510), customers, kinds, weights, 350, 1_480, 96, "z1");
+    }
+
+    private static List<WorkerView> small(String[] zones, int cpus, long memoryMb) {
+        List<WorkerView> workers = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            int rack = i / 3;
+            workers.add(
+                    new WorkerView(
+                            "w" + i,
+                            zones[rack % zones.length],
+                            "r" + rack,
+                            i % 3,
+                            8,
+                            cpus,
+                            memoryMb,
+                            WorkerCondition.USABLE));
+        }
+        return workers;
+    }
+
+    private static CustomerPolicy customer(String name, int blocks, int size, Adjacency adjacency) {
+        return new CustomerPolicy(name, 0, List.of(new GuaranteedShape(blocks, size, adjacency)));
+    }
+
+    private static JobSpec kind(
+            String serviceClass,
+            int tasks,
+            int accelerators,
+            Adjacency adjacency,
+            long meanSeconds,
+            boolean checkpointable) {
+        int cpus = Math.max(1, accelerators * 3);
+        return new JobSpec(
+                "any",
+                serviceClass,
+                tasks,
+                accelerators,
+                adjacency,
+                cpus,
+                1_000,
+                meanSeconds,
+                checkpointable,
+                false,
+                "run");
+    }
+
+    private static Workload workload(
+            Random random,
+            List<WorkerView> workers,
+            List<CustomerPolicy> customers,
+            List<JobSpec> kinds,
+            int[] weights,
+            int badOneIn,
+            int count,
+            int hours,
+            String zoneOut) {
+        List<Long> arrivals = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            boolean burst = i > 0 && random.nextInt(3) == 0;
+            long at = (long) (random.nextDouble() * hours * HOUR_MILLIS);
+            arrivals.add(burst ? arrivals.get(i - 1) + random.nextInt(60_000) : at);
+        }
+        arrivals.sort(null);
+        List<SubmittedJob> jobs = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            JobSpec kind = pick(random, kinds, weights);
+            jobs.add(job(random, "job" + i, kind, customers, arrivals.get(i)));
+        }
+        Set<String> bad = Set.of(workers.get(badOneIn / 2).worker());
+        long from = hours * HOUR_MILLIS / 2;
+        return new Workload(workers, customers, jobs, bad, zoneOut, from, from + HOUR_MILLIS);
+    }
+
+    private static JobSpec pick(Random random, List<JobSpec> kinds, int[] weights) {
+        int total = 0;
+        for (int weight : weights) {
+            total += weight;
+        }
+        int at = random.nextInt(total);
+        int kind = 0;
+        while (at >= weights[kind]) {
+            at -= weights[kind++];
+        }
+        return kinds.get(kind);
+    }
+
+    /** Draws run time and declaration; the declaration is off by a habit of customer and class. */
+    private static SubmittedJob job(
+            Random random,
+            String id,
+            JobSpec kind,
+            List<CustomerPolicy> customers,
+            long arrivalMillis) {
+        int skewed = (int) (customers.size() * Math.pow(random.nextDouble(), 1.5));
+        String customer = customers.get(skewed).name();
+        double seconds = kind.runSeconds() * Math.exp(0.8 * random.nextGaussian() - 0.32);
+        Random habit = new Random((customer + kind.serviceClass()).hashCode());
+        double off = Math.pow(FARTHEST_DECLARATION, 0.7 * (2 * habit.nextDouble() - 1));
+        double noise = Math.pow(FARTHEST_DECLARATION, 0.3 * (2 * random.nextDouble() - 1));
+        boolean impossible = random.nextInt(100) == 0;
+        JobSpec spec =
+                new JobSpec(
+                        customer,
+                        kind.serviceClass(),
+                        kind.tasks(),
+                        impossible ? 9 : kind.acceleratorsPerTask(),
+                        kind.adjacency(),
+                        kind.cpus(),
+                        kind.memoryMb(),
+                        Math.max(60, (long) (seconds * off * noise)),
+                        kind.checkpointable(),
+                        false,
+                        "run");
+        boolean faulty = random.nextInt(100) == 0;
+        return new SubmittedJob(id, spec, arrivalMillis, (long) (seconds * 1_000), faulty);
+    }
+}
