--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSystem.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
+import org.fescueloom.config.ConfigurationDocument;
 import org.fescueloom.daemon.Daemon;
 import org.fescueloom.daemon.Service;
 import org.fescueloom.daemon.cluster.Clocks;
@@ -25,6 +26,7 @@
 import org.fescueloom.placement.PlacementPolicy;
 import org.fescueloom.placement.RunTimeEstimates;
 import org.fescueloom.placement.WorkerCondition;
+import org.fescueloom.placement.WorkerView;
 import org.fescueloom.report.ExplanationReport;
 
 /** Puts together the job path of one process: keepers everywhere, routes and planner on entries. */
@@ -103,7 +105,10 @@
                         new StreamListener<EpochBook>() {});
         daemon.add(new FollowerService(epochFollower));
         daemon.add(new JobRoutes(jobCluster, ledger, jobLog, reports, planners, metrics));
-        installKeeper(daemon, gang -> true);
+        KeeperListRoutes agents =
+                new KeeperListRoutes(() -> cluster.members().agents(Clocks.monotonicMillis()));
+        daemon.add(agents);
+        installKeeper(daemon, KeeperDuty.ofEntry(cluster.member(), agents::candidates));
         daemon.add(planner);
     }
 
@@ -113,7 +118,11 @@
      * @param daemon the daemon, not null
      */
     public void installAgent(Daemon daemon) {
-        installKeeper(daemon, gang -> true);
+        KeeperListFollower agents =
+                new KeeperListFollower(
+                        () -> cluster.directory().live(Clocks.monotonicMillis()), metrics);
+        daemon.add(agents);
+        installKeeper(daemon, KeeperDuty.ofAgent(cluster.member(), agents::candidates));
     }
 
     /**
@@ -148,6 +157,16 @@
         return counts;
     }
 
+    /**
+     * Describes every known worker under a configuration.
+     *
+     * @param document the configuration, not null
+     * @return the workers as the planner sees them, never null
+     */
+    public List<WorkerView> workerViews(ConfigurationDocument document) {
+        return PlanInputBuilder.views(ledger, jobCluster.workers(), document);
+    }
+
     /**
      * Tells whether a worker can take tasks.
      *
--- /dev/null
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/DemoCluster.java
@@ -0,0 +1,215 @@
+package org.fescueloom.standins.demo;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.fescueloom.json.Json;
+
+/** Starts and ends the processes of the demonstration. */
+final class DemoCluster implements AutoCloseable {
+    private static final Duration START_LIMIT = Duration.ofSeconds(30);
+    private static final Duration END_LIMIT = Duration.ofSeconds(15);
+    private static final String ANY_PORT = "127.0.0.1:0";
+    private static final int SERVICE_MILLIS = 30;
+
+    private final Installation installation;
+    private final List<DemoProcess> processes = Collections.synchronizedList(new ArrayList<>());
+    private final Map<String, DemoUpstream> upstreams = new LinkedHashMap<>();
+    private final Map<String, DemoWorker> workers = new LinkedHashMap<>();
+    private final List<DemoProcess> daemons = new ArrayList<>();
+    private final List<String> entries = new ArrayList<>();
+    private String logService;
+    private boolean closed;
+
+    /** Says which upstream to start, how many times faster than the slowest. */
+    record UpstreamPlan(String name, String zone, double speed) {}
+
+    /** Names an upstream with its availability zone, address and process. */
+    record DemoUpstream(String name, String zone, String address, DemoProcess process) {}
+
+    /** Names a worker with its availability zone and address. */
+    record DemoWorker(String name, String zone, String address) {}
+
+    /**
+     * Creates a cluster without processes.
+     *
+     * @param installation finds the programs, not null
+     */
+    DemoCluster(Installation installation) {
+        this.installation = installation;
+    }
+
+    void startLog() {
+        logService =
+                launch("log", installation.standIn("log", "--listen", ANY_PORT))
+                        .awaitAddress(START_LIMIT);
+    }
+
+    void startEntry(String name, String zone) {
+        entries.add(launchDaemon(settings("entry", name, zone)).awaitAddress(START_LIMIT));
+    }
+
+    /** Starts agents, then the upstream beside each one. */
+    void startUpstreams(List<UpstreamPlan> plans) {
+        List<DemoProcess> agents =
+                plans.stream()
+                        .map(p -> launchDaemon(settings("agent", p.name() + "-agent", p.zone())))
+                        .toList();
+        List<DemoProcess> started = new ArrayList<>();
+        for (int i = 0; i < plans.size(); i++) {
+            started.add(launchUpstream(plans.get(i), agents.get(i).awaitAddress(START_LIMIT)));
+        }
+        for (int i = 0; i < plans.size(); i++) {
+            UpstreamPlan plan = plans.get(i);
+            DemoProcess process = started.get(i);
+            String address = process.awaitAddress(START_LIMIT);
+            upstreams.put(
+                    plan.name(), new DemoUpstream(plan.name(), plan.zone(), address, process));
+        }
+    }
+
+    private DemoProcess launchUpstream(UpstreamPlan plan, String agent) {
+        return launch(
+                plan.name(),
+                installation.standIn(
+                        "upstream",
+                        "--listen",
+                        ANY_PORT,
+                        "--upstream",
+                        plan.name(),
+                        "--agent",
+                        agent,
+                        "--service-millis",
+                        Integer.toString(SERVICE_MILLIS),
+                        "--speed",
+                        Double.toString(plan.speed())));
+    }
+
+    /** Starts workers, all of one rack in each zone. */
+    void startWorkers(Map<String, Integer> countByZone) {
+        Map<DemoProcess, String> started = new LinkedHashMap<>();
+        countByZone.forEach(
+                (zone, count) -> {
+                    for (int position = 0; position < count; position++) {
+                        started.put(launchWorker(zone, position), zone);
+                    }
+                });
+        started.forEach(
+                (process, zone) ->
+                        workers.put(
+                                process.name(),
+                                new DemoWorker(
+                                        process.name(), zone, process.awaitAddress(START_LIMIT))));
+    }
+
+    private DemoProcess launchWorker(String zone, int position) {
+        String rack = zone + "-r1";
+        String name = rack + "-w" + position;
+        return launch(
+                name,
+                installation.standIn(
+                        "worker",
+                        "--listen",
+                        ANY_PORT,
+                        "--worker",
+                        name,
+                        "--zone",
+                        zone,
+                        "--rack",
+                        rack,
+                        "--position",
+                        Integer.toString(position),
+                        "--entries",
+                        String.join(",", entries)));
+    }
+
+    List<String> entries() {
+        return List.copyOf(entries);
+    }
+
+    Map<String, DemoUpstream> upstreams() {
+        return Collections.unmodifiableMap(upstreams);
+    }
+
+    Map<String, DemoWorker> workers() {
+        return Collections.unmodifiableMap(workers);
+    }
+
+    int size() {
+        return processes.size();
+    }
+
+    private Map<String, Object> settings(String role, String member, String zone) {
+        Map<String, Object> settings = new LinkedHashMap<>();
+        settings.put("role", role);
+        settings.put("member", member);
+        settings.put("zone", zone);
+        settings.put("listen", ANY_PORT);
+        settings.put("entries", List.copyOf(entries));
+        settings.put("logService", List.of(logService));
+        settings.put("logLevel", "info");
+        return settings;
+    }
+
+    private DemoProcess launchDaemon(Map<String, Object> settings) {
+        String name = settings.get("member").toString();
+        Path file = installation.directory().resolve(name + ".json");
+        try {
+            Files.write(file, Json.write(settings));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        DemoProcess process = launch(name, installation.daemon(file));
+        daemons.add(process);
+        return process;
+    }
+
+    private DemoProcess launch(String name, List<String> command) {
+        synchronized (processes) {
+            if (closed) {
+                throw new DemoException("interrupted");
+            }
+            DemoProcess process = DemoProcess.start(name, installation.directory(), command);
+            processes.add(process);
+            return process;
+        }
+    }
+
+    /** Returns the daemons, entries first. */
+    List<DemoProcess> daemons() {
+        return List.copyOf(daemons);
+    }
+
+    /** Tells whether the processes have been ended, as by an interrupt. */
+    boolean isClosed() {
+        synchronized (processes) {
+            return closed;
+        }
+    }
+
+    /** Ends every process in the reverse order of the starts, each by its process id. */
+    @Override
+    public void close() {
+        List<DemoProcess> all;
+        synchronized (processes) {
+            closed = true;
+            all = new ArrayList<>(processes);
+            processes.clear();
+        }
+        Collections.reverse(all);
+        all.forEach(DemoProcess::terminate);
+        for (DemoProcess process : all) {
+            if (!process.awaitEnd(END_LIMIT)) {
+                System.err.printf(
+                        "process %d (%s) was ended by force%n", process.id(), process.name());
+            }
+        }
+    }
+}
