Plan only when something changed

Cause: a round ran every 200 ms; at the size to design for one takes tens of milliseconds, which would be several times the budget of 4.8% of a core. Ruled out: longer fixed pauses (urgent work must start within 4.3 s). Change: RoundTrigger: a round is due when a record, a worker's state, the configuration, a start in progress or a backoff changed, or after 5 s. Conclusion: the cost of planning follows the rate of changes.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlannerService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlannerService.java
@@ -127,7 +127,7 @@
         } else if (epoch.get() != startedEpoch) {
             announceStart(epoch.get());
         } else {
-            carryOut(rounds.plan(runner), epoch.get());
+            rounds.planIfDue(runner).ifPresent(plan -> carryOut(plan, epoch.get()));
         }
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/RoundPlanner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/RoundPlanner.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.job.GangPlaced;
@@ -18,6 +19,7 @@
     private final Planner planner;
     private final PlanBoard board;
     private final Metrics metrics;
+    private final RoundTrigger trigger = new RoundTrigger();
 
     /**
      * Creates the planner of rounds.
@@ -44,6 +46,23 @@
         this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
 
+    /**
+     * Plans one round if it could decide anything new.
+     *
+     * @param runner tells which gangs are being started or stopped, not null
+     * @return the plan, or empty if no round is due
+     */
+    public Optional<Plan> planIfDue(GangRunner runner) {
+        boolean due =
+                trigger.isDue(
+                        ledger,
+                        cluster.workers(),
+                        cluster.document(),
+                        runner,
+                        System.currentTimeMillis());
+        return due ? Optional.of(plan(runner)) : Optional.empty();
+    }
+
     /**
      * Plans one round.
      *
