--- a/fescueloom-core/src/main/java/org/fescueloom/config/ConfigurationTracker.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/config/ConfigurationTracker.java
@@ -17,14 +17,12 @@
  * down while every known entry says that it cannot reach it.
  *
  * <p>An entry that is about to append a change must not be one of those: {@link #beginWrite} stops
- * it from saying so and tells how long its earlier statements may still be relied on. Times are in
- * milliseconds of the monotonic clock.
+ * it from saying so. Times are in milliseconds of the monotonic clock.
  */
 public final class ConfigurationTracker {
     private static final long NEVER = ConfigurationView.NEVER;
 
     private final boolean entry;
-    private final long maxAgeMillis;
     private final Map<String, Long> unreachableAt = new HashMap<>();
     private final Set<String> reachable = new HashSet<>();
     private long version = ConfigurationRecord.NO_VERSION;
@@ -32,18 +30,16 @@
     private long provenAtMillis = NEVER;
     private long foldedTo = ConfigProof.NOT_FOLDED;
     private long logFailedAtMillis = NEVER;
-    private long statedUnreachableAtMillis = NEVER;
+    private long unreadWriteAtMillis = NEVER;
     private int writes;
 
     /**
      * Creates a tracker that knows nothing.
      *
      * @param entry whether the process is an entry and can itself append changes
-     * @param maxAgeMillis the greatest age of a proof on which work starts
      */
-    public ConfigurationTracker(boolean entry, long maxAgeMillis) {
+    public ConfigurationTracker(boolean entry) {
         this.entry = entry;
-        this.maxAgeMillis = maxAgeMillis;
     }
 
     /**
@@ -57,6 +53,9 @@
     public synchronized void readFromLog(
             long readVersion, ConfigurationDocument readDocument, long offset, long sentAtMillis) {
         logFailedAtMillis = NEVER;
+        if (sentAtMillis >= unreadWriteAtMillis) {
+            unreadWriteAtMillis = NEVER;
+        }
         if (take(readVersion, readDocument, sentAtMillis)) {
             foldedTo = Math.max(foldedTo, offset);
         }
@@ -120,10 +119,7 @@
      * @return the proof, never null
      */
     public synchronized ConfigProof proof(long peerVersion, long nowMillis) {
-        boolean unreachable = logFailedAtMillis != NEVER && writes == 0;
-        if (unreachable) {
-            statedUnreachableAtMillis = nowMillis;
-        }
+        boolean unreachable = ownFailure() != NEVER;
         long age = provenAtMillis == NEVER ? Long.MAX_VALUE : nowMillis - provenAtMillis;
         ConfigurationDocument sent = peerVersion == version ? null : document;
         return new ConfigProof(version, age, !unreachable, sent, foldedTo);
@@ -151,21 +147,27 @@
     /**
      * Prepares to append a change; to be followed by {@link #endWrite}.
      *
-     * @param nowMillis the time now
-     * @return how long to wait before the append, so that no process still relies on a statement of
-     *     this one that the log is down, in milliseconds, at least 0
+     * <p>From now on this process does not say that it cannot reach the log, so that nobody relies
+     * on that for longer than the greatest age of a proof after the append.
      */
-    public synchronized long beginWrite(long nowMillis) {
+    public synchronized void beginWrite() {
         writes++;
-        if (statedUnreachableAtMillis == NEVER) {
-            return 0L;
-        }
-        return Math.max(0L, statedUnreachableAtMillis + maxAgeMillis + 1 - nowMillis);
     }
 
-    /** Ends what {@link #beginWrite} began. */
-    public synchronized void endWrite() {
+    /**
+     * Ends what {@link #beginWrite} began.
+     *
+     * <p>After a change that it has not read back, this process says again that it cannot reach the
+     * log only when it has read the log since.
+     *
+     * @param unread whether the log may have the change although this process has not read it
+     * @param nowMillis the time now
+     */
+    public synchronized void endWrite(boolean unread, long nowMillis) {
         writes--;
+        if (unread) {
+            unreadWriteAtMillis = nowMillis;
+        }
     }
 
     private boolean take(long newVersion, ConfigurationDocument newDocument, long provenAt) {
@@ -191,6 +193,6 @@
     }
 
     private long ownFailure() {
-        return writes > 0 ? NEVER : logFailedAtMillis;
+        return writes > 0 || unreadWriteAtMillis != NEVER ? NEVER : logFailedAtMillis;
     }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/member/EntryDirectory.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/member/EntryDirectory.java
@@ -13,7 +13,9 @@
  * threads.
  *
  * <p>The addresses of the settings are always announced to, so that a process finds the others
- * again after any outage. The others are forgotten when no entry has listed them for a while.
+ * again after any outage. The others are forgotten when the live entries have not listed them for a
+ * while. A process that hears of no entry at all forgets none: it cannot tell whether they are gone
+ * or it is cut off itself.
  */
 public final class EntryDirectory {
     /** The time after which an address that is no longer listed is forgotten, in milliseconds. */
@@ -22,6 +24,7 @@
     private final List<String> seeds;
     private final Map<String, Long> listedAt = new HashMap<>();
     private String self = "";
+    private long lastListMillis;
 
     /**
      * Creates a directory.
@@ -49,6 +52,7 @@
      * @param nowMillis the time now
      */
     public synchronized void list(Collection<String> addresses, long nowMillis) {
+        lastListMillis = nowMillis;
         addresses.forEach(a -> listedAt.put(a, nowMillis));
         listedAt.remove(self);
     }
@@ -56,12 +60,11 @@
     /**
      * Returns the addresses to announce to.
      *
-     * @param nowMillis the time now
      * @return the addresses in order, never null
      */
-    public synchronized Set<String> known(long nowMillis) {
+    public synchronized Set<String> known() {
         Set<String> all = new TreeSet<>(seeds);
-        all.addAll(live(nowMillis));
+        all.addAll(live());
         all.remove(self);
         return all;
     }
@@ -69,11 +72,10 @@
     /**
      * Returns the addresses of the entries that were listed lately.
      *
-     * @param nowMillis the time now
      * @return the addresses in order, never null
      */
-    public synchronized Set<String> live(long nowMillis) {
-        listedAt.values().removeIf(t -> nowMillis - t >= FORGET_AFTER_MILLIS);
+    public synchronized Set<String> live() {
+        listedAt.values().removeIf(t -> lastListMillis - t >= FORGET_AFTER_MILLIS);
         return new TreeSet<>(listedAt.keySet());
     }
 }
--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/config/ConfigurationTrackerTest.java
@@ -0,0 +1,93 @@
+package org.fescueloom.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fescueloom.wire.ConfigProof;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationTrackerTest {
+    private static ConfigProof says(long version, long age, boolean logReachable) {
+        ConfigurationDocument document = ConfigurationHistoryTest.document("v" + version);
+        return new ConfigProof(version, age, logReachable, document);
+    }
+
+    @Property(tries = 200, seed = "11")
+    void neverFallsBackWhateverLogAndPeersSay(@ForAll long seed) {
+        Random random = new Random(seed);
+        ConfigurationTracker tracker = new ConfigurationTracker(true);
+        long highest = -1;
+        for (int now = 0; now < 100; now++) {
+            long version = random.nextInt(20);
+            if (random.nextBoolean()) {
+                ConfigurationDocument d = ConfigurationHistoryTest.document("v" + version);
+                tracker.readFromLog(version, d, version + 1, now);
+            } else {
+                tracker.heardFromPeer("p", says(version, random.nextInt(50), true), now);
+            }
+            highest = Math.max(highest, version);
+            ConfigurationView view = tracker.view(List.of());
+            assertThat(view.version()).isEqualTo(highest);
+            assertThat(view.document().classes().get(0).name()).isEqualTo("v" + highest);
+            assertThat(view.provenAtMillis()).isLessThanOrEqualTo(now);
+        }
+    }
+
+    @Nested
+    class Proofs {
+        private final ConfigurationTracker tracker = new ConfigurationTracker(false);
+
+        @Test
+        void countFromTheTimeOfTheQuestionAndAddTheAgeAtThePeer() {
+            tracker.heardFromPeer("p", says(5, 700, true), 10_000);
+            assertThat(tracker.view(List.of()).ageMillis(10_400)).isEqualTo(1_100);
+        }
+
+        @Test
+        void ofAnOlderVersionProveNothing() {
+            tracker.heardFromPeer("p", says(5, 0, true), 1_000);
+            tracker.heardFromPeer("q", says(4, 0, true), 9_000);
+            assertThat(tracker.view(List.of()).provenAtMillis()).isEqualTo(1_000);
+        }
+
+        @Test
+        void ofANewerVersionWithoutItsDocumentProveNothing() {
+            tracker.heardFromPeer("p", says(5, 0, true), 1_000);
+            tracker.heardFromPeer("p", new ConfigProof(6, 0, true, null), 2_000);
+            assertThat(tracker.view(List.of()).version()).isEqualTo(5);
+            assertThat(tracker.view(List.of()).provenAtMillis()).isEqualTo(1_000);
+        }
+    }
+
+    @Nested
+    class Writes {
+        @Test
+        void endTheStatementThatTheLogIsDownUntilTheLogIsReadAgain() {
+            ConfigurationTracker entry = new ConfigurationTracker(true);
+            entry.failedToReachLog(1_000);
+            assertThat(entry.proof(-1, 2_000).logReachable()).isFalse();
+            entry.beginWrite();
+            assertThat(entry.proof(-1, 2_100).logReachable()).isTrue();
+            assertThat(entry.view(List.of()).outageAtMillis()).isEqualTo(ConfigurationView.NEVER);
+            entry.endWrite(true, 2_500);
+            entry.failedToReachLog(2_600);
+            assertThat(entry.proof(-1, 2_700).logReachable()).isTrue();
+            entry.readFromLog(3, ConfigurationDocument.EMPTY, 4, 3_000);
+            entry.failedToReachLog(4_000);
+            assertThat(entry.proof(-1, 4_100).logReachable()).isFalse();
+        }
+
+        @Test
+        void thatHadNoEffectLetTheOutageExceptionGoOn() {
+            ConfigurationTracker entry = new ConfigurationTracker(true);
+            entry.failedToReachLog(1_000);
+            entry.beginWrite();
+            entry.endWrite(false, 1_500);
+            assertThat(entry.view(List.of()).outageAtMillis()).isEqualTo(1_000);
+        }
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/AnnouncementClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/AnnouncementClient.java
@@ -70,7 +70,7 @@
 
     /** Announces the present state to all known entries at once. */
     public void announceNow() {
-        for (String address : directory.known(Clocks.monotonicMillis())) {
+        for (String address : directory.known()) {
             send(address);
         }
     }
@@ -86,7 +86,7 @@
         if (closed) {
             return;
         }
-        for (String address : directory.known(Clocks.monotonicMillis())) {
+        for (String address : directory.known()) {
             if (!inFlight.contains(address)) {
                 send(address);
             }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/Cluster.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/Cluster.java
@@ -64,14 +64,8 @@
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         directory = new EntryDirectory(settings.entries());
         log = new LogClient(settings.logService(), executor, metrics);
-        tracker = new ConfigurationTracker(isEntry(), ZoneGate.MAX_AGE_MILLIS);
-        configuration =
-                new ConfigurationFollower(
-                        log,
-                        executor,
-                        metrics,
-                        tracker,
-                        () -> directory.live(Clocks.monotonicMillis()));
+        tracker = new ConfigurationTracker(isEntry());
+        configuration = new ConfigurationFollower(log, executor, metrics, tracker, directory::live);
         zoneGate = new ZoneGate(configuration::view);
         announcements =
                 new AnnouncementClient(
@@ -138,13 +132,7 @@
                 EXPIRE_MILLIS,
                 TimeUnit.MILLISECONDS);
         if (isEntry()) {
-            new SnapshotKeeper(
-                            log,
-                            configuration,
-                            executor,
-                            metrics,
-                            address,
-                            () -> directory.live(Clocks.monotonicMillis()))
+            new SnapshotKeeper(log, configuration, executor, metrics, address, directory::live)
                     .start();
         }
     }
@@ -324,11 +312,10 @@
 
     /** Returns how long a change must wait because some process may not count this entry yet. */
     private long startupWaitMillis() {
-        long now = Clocks.monotonicMillis();
-        if (tracker.logReachableFor(directory.known(now))) {
+        if (tracker.logReachableFor(directory.known())) {
             return 0L;
         }
-        return Math.max(0L, startedAtMillis + STARTUP_WAIT_MILLIS - now);
+        return Math.max(0L, startedAtMillis + STARTUP_WAIT_MILLIS - Clocks.monotonicMillis());
     }
 
     private void registerGauges() {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/ConfigurationPublisher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/ConfigurationPublisher.java
@@ -54,8 +54,8 @@
     /**
      * Replaces the configuration if a version is still the current one.
      *
-     * <p>The log is asked first whether it can be reached; if not, nothing is changed and no
-     * process has to stop relying on the outage.
+     * <p>The log is asked first whether it can be reached; if not, nothing is changed, and the
+     * processes go on to rely on the outage.
      *
      * @param base the version that is replaced; -1 for none
      * @param document the new document, not null
@@ -91,14 +91,19 @@
     }
 
     private CompletableFuture<Long> write(long base, ConfigurationDocument document) {
-        long wait = follower.tracker().beginWrite(Clocks.monotonicMillis());
-        long delay = Math.max(wait, startupWaitMillis.getAsLong());
+        follower.tracker().beginWrite();
+        long delay = startupWaitMillis.getAsLong();
         if (delay > 0) {
             EventLog.event("config-append-delayed").field("millis", delay).info();
         }
         return CompletableFuture.runAsync(() -> {}, delayed(delay))
                 .thenCompose(nothing -> append(base, document))
-                .whenComplete((version, error) -> follower.tracker().endWrite());
+                .whenComplete(
+                        (version, error) ->
+                                follower.tracker()
+                                        .endWrite(
+                                                isUnread(version, error),
+                                                Clocks.monotonicMillis()));
     }
 
     private CompletableFuture<Long> append(long base, ConfigurationDocument document) {
@@ -130,6 +135,15 @@
                         });
     }
 
+    /** Tells whether the log may have the change although this process has not read it. */
+    private boolean isUnread(Long version, Throwable error) {
+        if (error == null) {
+            return follower.version() < version;
+        }
+        FailureType type = Failures.typeOf(error);
+        return type != FailureType.LOG_UNAVAILABLE && type != FailureType.VERSION_CONFLICT;
+    }
+
     private Executor delayed(long millis) {
         return task -> executor.schedule(task, millis, TimeUnit.MILLISECONDS);
     }
