--- a/fescueloom-core/src/main/java/org/fescueloom/config/ConfigurationHistory.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/config/ConfigurationHistory.java
@@ -96,6 +96,7 @@
         version = newVersion;
         document = newDocument;
         complete = true;
+        coveredAtMillis = 0L;
         List<LogRecord> pending = List.copyOf(kept);
         kept.clear();
         pending.stream().filter(r -> r.offset() >= at).forEach(this::fold);
@@ -129,7 +130,8 @@
      * Returns when the last snapshot was appended, by the clock of the log.
      *
      * @return the time in milliseconds since the epoch; without a snapshot the time of the first
-     *     record; {@code Long.MAX_VALUE} before the first record
+     *     record; {@code Long.MAX_VALUE} before the first record; 0 if the state was taken over and
+     *     the log does not hold it
      */
     public long coveredAtMillis() {
         return coveredAtMillis;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/cluster/ClusterTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/cluster/ClusterTest.java
@@ -251,6 +251,26 @@
         }
     }
 
+    @Nested
+    class LostState {
+        @Test
+        void isWrittenToTheLogAgainAndFreshProcessesTakeItFromThere() {
+            ClusterNode entry = node(Role.ENTRY, "entry-1");
+            long version = publish(entry, -1, "first");
+            log.faults(faults(Fault.always(FaultKind.REFUSE)));
+            ClusterNode other = node(Role.ENTRY, "entry-2");
+            await("learned", () -> other.version() == version);
+            entry.cluster.close();
+            log.expire(0);
+            log.faults(Faults.NONE);
+            await("written again", () -> other.counter("config.snapshots") > 0);
+            ClusterNode alone =
+                    new ClusterNode(Role.AGENT, "agent-1", ZONE, log.address(), List.of());
+            open.add(alone);
+            await("read from the log", () -> alone.version() == version);
+        }
+    }
+
     @Nested
     class Members {
         @Test
@@ -301,6 +321,36 @@
         }
     }
 
+    @Nested
+    class Replacement {
+        @Test
+        void ofAllEntriesOneAfterAnotherStopsNoWorkAndLosesNoVersion() throws Exception {
+            List<ClusterNode> entries = new ArrayList<>();
+            entries.add(node(Role.ENTRY, "entry-0"));
+            entries.add(node(Role.ENTRY, "entry-1"));
+            ClusterNode agent = node(Role.AGENT, "agent-1");
+            long version = publish(entries.get(0), -1, "first");
+            await("allowed", () -> allows(agent));
+            for (int i = 2; i < 5; i++) {
+                seed = entries.get(entries.size() - 1).address();
+                ClusterNode fresh = node(Role.ENTRY, "entry-" + i);
+                long expected = version;
+                await("fresh entry knows", () -> fresh.version() == expected);
+                await(
+                        "agent knows",
+                        () -> agent.cluster.directory().known().contains(fresh.address()));
+                ClusterNode old = entries.remove(0);
+                open.remove(old);
+                old.close();
+                entries.add(fresh);
+                version = publish(fresh, version, "v" + i);
+                long next = version;
+                await("agent follows", () -> agent.version() == next);
+                assertThat(allows(agent)).isTrue();
+            }
+        }
+    }
+
     @Nested
     class CorruptRecords {
         @Test
