Guard each connection of the server

Cause: the library's server writes bodies above 16 KiB to a temporary file, takes forms apart, mixes the answers of pipelined requests that are answered later, never closes a slow connection, and does not tell when a caller goes away; port 0 is picked before the bind. Ruled out: settings of the library's server; it has none for these. Change: GuardedNettyServer sets up the pipeline with the library's own handler, an in-memory body factory and a ConnectionGuard; HttpCall.onDisconnect; a caller that goes away drops its queued work and tells the agent of running work. Conclusion: memory per server is bounded by ServerLimits.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
@@ -171,7 +171,7 @@
     private CompletableFuture<HttpReply> request(HttpCall call) {
         try {
             RequestInput input = RequestInput.read(call, config.get(), System.nanoTime());
-            return admit(input).thenApply(RequestResult::reply);
+            return admit(input, call).thenApply(RequestResult::reply);
         } catch (SchedulerException e) {
             metrics.countRefusal(e.type());
             HttpReply reply = HttpReply.failure(e);
@@ -181,7 +181,7 @@
         }
     }
 
-    private CompletableFuture<RequestResult> admit(RequestInput input) {
+    private CompletableFuture<RequestResult> admit(RequestInput input, HttpCall call) {
         if (draining) {
             throw new SchedulerException(
                     FailureType.SHUTTING_DOWN, "the entry is shutting down", SWEEP_MILLIS);
@@ -194,6 +194,7 @@
             unfinished++;
         }
         journal.add(trail);
+        call.onDisconnect(() -> callerGone(waiting));
         metrics.count("requests.accepted");
         startNext();
         return waiting.result;
@@ -264,6 +265,23 @@
         late.work().result.complete(new RequestResult(input.id(), null, null, 0, failure));
     }
 
+    private void callerGone(Waiting waiting) {
+        boolean removed;
+        synchronized (this) {
+            removed = queue.remove(queued(waiting));
+            if (removed) {
+                release(waiting.run.input());
+            }
+        }
+        waiting.run.callerGone();
+        if (removed) {
+            SchedulerException failure =
+                    new SchedulerException(FailureType.ATTEMPT_CANCELLED, "the caller went away");
+            String id = waiting.run.input().id();
+            waiting.result.complete(new RequestResult(id, null, null, 0, failure));
+        }
+    }
+
     private void run(QueuedAttempt<Waiting> next) {
         long startedNanos = System.nanoTime();
         next.work()
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
@@ -0,0 +1,280 @@
+package org.fescueloom.daemon.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.fescueloom.failure.FailureBody;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.json.Json;
+import org.tinylog.Logger;
+
+/**
+ * Guards one connection of a server.
+ *
+ * <p>Closes it when a request takes too long to arrive, an answer too long to be taken, or no
+ * request comes; refuses what exceeds the limits; hands on one request after the other, so that
+ * answers keep the order of pipelined requests; and tells when the other side goes away. Runs on
+ * the event loop of its connection alone.
+ */
+final class ConnectionGuard extends ChannelDuplexHandler {
+    /** The header that keeps the content type of a form, which the server must not take apart. */
+    static final String FORM_CONTENT_TYPE = "Form-Content-Type";
+
+    private static final ThreadLocal<ConnectionGuard> CURRENT = new ThreadLocal<>();
+    private static final long CHECK_MILLIS = 1_000;
+    private static final String OPAQUE = "application/octet-stream";
+
+    private final ServerLoad load;
+    private final Deque<Object> pending = new ArrayDeque<>();
+    private final List<Runnable> onClose = new ArrayList<>();
+    private ScheduledFuture<?> check;
+    private Stage stage = Stage.IDLE;
+    private boolean requestWhole = true;
+    private boolean answerWhole = true;
+    private long stageSinceNanos = System.nanoTime();
+    private long receivedBytes;
+
+    /** Names what a connection is doing. */
+    private enum Stage {
+        IDLE,
+        RECEIVING,
+        WORKING,
+        SENDING
+    }
+
+    /**
+     * Creates the guard of a new connection.
+     *
+     * @param load counts what the connections of the server take, not null
+     */
+    ConnectionGuard(ServerLoad load) {
+        this.load = load;
+    }
+
+    /**
+     * Returns the guard of the connection whose request is being handled by this thread.
+     *
+     * @return the guard; null outside of the handling of a request
+     */
+    static ConnectionGuard current() {
+        return CURRENT.get();
+    }
+
+    /**
+     * Runs a task when the connection is closed; a task of an earlier request is forgotten.
+     *
+     * @param task the task, not null
+     */
+    void onClose(Runnable task) {
+        onClose.add(task);
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) throws Exception {
+        if (!load.open()) {
+            Logger.warn("event=connection-refused reason=too-many");
+            context.close();
+            return;
+        }
+        check =
+                context.executor()
+                        .scheduleAtFixedRate(
+                                () -> closeIfLate(context),
+                                CHECK_MILLIS,
+                                CHECK_MILLIS,
+                                TimeUnit.MILLISECONDS);
+        super.channelActive(context);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        load.close();
+        if (check != null) {
+            check.cancel(false);
+        }
+        load.hold(-receivedBytes);
+        receivedBytes = 0;
+        pending.forEach(ReferenceCountUtil::release);
+        pending.clear();
+        if (!answerWhole) {
+            onClose.forEach(Runnable::run);
+        }
+        onClose.clear();
+        super.channelInactive(context);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        boolean next = message instanceof HttpRequest;
+        if (!pending.isEmpty() || next && !(requestWhole && answerWhole)) {
+            pending.addLast(message);
+            context.channel().config().setAutoRead(false);
+            return;
+        }
+        handOn(context, message);
+    }
+
+    private void handOn(ChannelHandlerContext context, Object message) throws Exception {
+        if (message instanceof HttpRequest request && !begin(context, request)
+                || message instanceof HttpContent content && !receive(context, content)) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        CURRENT.set(this);
+        try {
+            super.channelRead(context, message);
+        } finally {
+            CURRENT.remove();
+        }
+        if (message instanceof LastHttpContent) {
+            resume(context);
+        }
+    }
+
+    private boolean begin(ChannelHandlerContext context, HttpRequest request) {
+        if (!request.decoderResult().isSuccess()) {
+            refuse(context, FailureType.MALFORMED_INPUT, "the head of the request is not HTTP");
+            return false;
+        }
+        requestWhole = false;
+        answerWhole = false;
+        onClose.clear();
+        enter(Stage.RECEIVING);
+        hideForm(request);
+        return true;
+    }
+
+    /** Keeps the server from taking forms apart: a body goes to the upstream as it is. */
+    private static void hideForm(HttpRequest request) {
+        request.headers().remove(FORM_CONTENT_TYPE);
+        String type = request.headers().get(HttpHeaderNames.CONTENT_TYPE);
+        String lower = type == null ? "" : type.trim().toLowerCase(Locale.ROOT);
+        if (lower.startsWith("multipart/")
+                || lower.startsWith("application/x-www-form-urlencoded")) {
+            request.headers().set(FORM_CONTENT_TYPE, type);
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, OPAQUE);
+        }
+    }
+
+    private boolean receive(ChannelHandlerContext context, HttpContent content) {
+        if (requestWhole) {
+            return false;
+        }
+        int bytes = content.content().readableBytes();
+        receivedBytes += bytes;
+        if (!load.hold(bytes)) {
+            refuse(context, FailureType.OVERLOADED, "too many bytes are being received");
+            return false;
+        }
+        if (content instanceof LastHttpContent) {
+            requestWhole = true;
+            load.hold(-receivedBytes);
+            receivedBytes = 0;
+            if (stage == Stage.RECEIVING) {
+                enter(Stage.WORKING);
+            }
+        }
+        return true;
+    }
+
+    private void refuse(ChannelHandlerContext context, FailureType type, String detail) {
+        byte[] body = Json.write(FailureBody.of(new SchedulerException(type, detail)));
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(type.status()),
+                        Unpooled.wrappedBuffer(body));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, HttpReply.JSON)
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, body.length)
+                .set(HttpHeaderNames.CONNECTION, "close");
+        if (type.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, "1");
+        }
+        requestWhole = true;
+        context.channel().config().setAutoRead(false);
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
+            throws Exception {
+        if (!(message instanceof HttpContent content)) {
+            super.write(context, message, promise);
+            return;
+        }
+        int bytes = content.content().readableBytes();
+        boolean last = message instanceof LastHttpContent;
+        load.hold(bytes);
+        enter(Stage.SENDING);
+        ChannelPromise listened = promise.unvoid();
+        listened.addListener(
+                done -> {
+                    load.hold(-bytes);
+                    if (last) {
+                        answerWhole = true;
+                        enter(requestWhole ? Stage.IDLE : Stage.RECEIVING);
+                        resume(context);
+                    }
+                });
+        super.write(context, message, listened);
+    }
+
+    private void resume(ChannelHandlerContext context) throws Exception {
+        while (!pending.isEmpty()) {
+            boolean next = pending.peekFirst() instanceof HttpRequest;
+            if (next && !(requestWhole && answerWhole)) {
+                return;
+            }
+            handOnPending(context);
+        }
+        if (requestWhole && !context.channel().config().isAutoRead()) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    private void handOnPending(ChannelHandlerContext context) throws Exception {
+        handOn(context, pending.removeFirst());
+        context.fireChannelReadComplete();
+    }
+
+    private void enter(Stage next) {
+        if (stage != next) {
+            stage = next;
+            stageSinceNanos = System.nanoTime();
+        }
+    }
+
+    private void closeIfLate(ChannelHandlerContext context) {
+        Duration limit =
+                switch (stage) {
+                    case IDLE -> load.limits().idleTimeout();
+                    case RECEIVING -> load.limits().receiveTimeout();
+                    case SENDING -> load.limits().sendTimeout();
+                    case WORKING -> null;
+                };
+        if (limit != null && System.nanoTime() - stageSinceNanos > limit.toNanos()) {
+            Logger.debug("event=connection-closed reason=slow stage={}", stage);
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
@@ -0,0 +1,164 @@
+package org.fescueloom.daemon.http;
+
+import io.jooby.Jooby;
+import io.jooby.Server;
+import io.jooby.ServerOptions;
+import io.jooby.internal.netty.NettyHandler;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.multipart.DefaultHttpDataFactory;
+import io.netty.handler.codec.http.multipart.HttpDataFactory;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs the application on Netty with a guard on each connection.
+ *
+ * <p>Differs from the library's own server in what it cannot be told: bodies stay in memory
+ * whatever their size, port 0 is resolved when the socket is bound, and connections are limited.
+ */
+final class GuardedNettyServer extends Server.Base {
+    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 16_384;
+    private static final int MAX_CHUNK_BYTES = 16_384;
+    private static final int BACKLOG = 1_024;
+    private static final long QUIET_MILLIS = 50;
+    private static final long STOP_MILLIS = 2_000;
+
+    private final ServerLoad load;
+    private final List<Jooby> applications = new ArrayList<>();
+    private ServerOptions options = new ServerOptions();
+    private EventLoopGroup acceptor;
+    private EventLoopGroup eventLoops;
+    private ExecutorService workers;
+    private int port;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param load counts what the connections take, not null
+     * @param port the port to listen on; 0 for any free one
+     */
+    GuardedNettyServer(ServerLoad load, int port) {
+        this.load = load;
+        this.port = port;
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the real port once started
+     */
+    int port() {
+        return port;
+    }
+
+    @Override
+    public GuardedNettyServer setOptions(ServerOptions newOptions) {
+        options = newOptions;
+        return this;
+    }
+
+    @Override
+    public ServerOptions getOptions() {
+        return options;
+    }
+
+    @Override
+    public String getName() {
+        return "netty";
+    }
+
+    @Override
+    public Server start(Jooby application) {
+        applications.add(application);
+        workers =
+                Executors.newFixedThreadPool(
+                        options.getWorkerThreads(), new DefaultThreadFactory("http-worker", true));
+        fireStart(applications, workers);
+        acceptor = new NioEventLoopGroup(1, new DefaultThreadFactory("http-acceptor"));
+        eventLoops =
+                new NioEventLoopGroup(options.getIoThreads(), new DefaultThreadFactory("http-io"));
+        InetSocketAddress address = new InetSocketAddress(options.getHost(), port);
+        port = bind(application, address).getPort();
+        fireReady(applications);
+        return this;
+    }
+
+    private InetSocketAddress bind(Jooby application, InetSocketAddress address) {
+        HttpDataFactory memory = new DefaultHttpDataFactory(false);
+        return (InetSocketAddress)
+                new ServerBootstrap()
+                        .group(acceptor, eventLoops)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(new Pipeline(application, memory))
+                        .bind(address)
+                        .syncUninterruptibly()
+                        .channel()
+                        .localAddress();
+    }
+
+    @Override
+    public synchronized Server stop() {
+        fireStop(applications);
+        applications.clear();
+        stop(acceptor);
+        stop(eventLoops);
+        if (workers != null) {
+            workers.shutdown();
+        }
+        return this;
+    }
+
+    private static void stop(EventLoopGroup group) {
+        if (group != null) {
+            group.shutdownGracefully(QUIET_MILLIS, STOP_MILLIS, TimeUnit.MILLISECONDS)
+                    .awaitUninterruptibly(STOP_MILLIS);
+        }
+    }
+
+    /** Sets up each new connection. */
+    private final class Pipeline extends ChannelInitializer<SocketChannel> {
+        private final Jooby application;
+        private final HttpDataFactory memory;
+
+        private Pipeline(Jooby application, HttpDataFactory memory) {
+            this.application = application;
+            this.memory = memory;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(
+                            "codec",
+                            new HttpServerCodec(
+                                    MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    .addLast("guard", new ConnectionGuard(load))
+                    .addLast(
+                            "handler",
+                            new NettyHandler(
+                                    eventLoops.next(),
+                                    application,
+                                    options.getMaxRequestSize(),
+                                    options.getBufferSize(),
+                                    memory,
+                                    options.getDefaultHeaders(),
+                                    false));
+        }
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
@@ -12,9 +12,11 @@
 public final class HttpCall {
     private final Context context;
     private final byte[] body;
+    private final ConnectionGuard guard;
 
     HttpCall(Context context) {
         this.context = Objects.requireNonNull(context, "context");
+        this.guard = ConnectionGuard.current();
         byte[] bytes = context.body().bytes();
         this.body = bytes == null ? new byte[0] : bytes;
     }
@@ -58,9 +60,25 @@
      * @return the value, or empty if it is missing
      */
     public Optional<String> header(String name) {
+        if (name.equalsIgnoreCase("Content-Type")) {
+            Optional<String> form = optional(context.header(ConnectionGuard.FORM_CONTENT_TYPE));
+            return form.isPresent() ? form : optional(context.header(name));
+        }
         return optional(context.header(name));
     }
 
+    /**
+     * Runs a task if the caller closes its connection before the reply was sent; to be called while
+     * the request is being handled. The task must not block.
+     *
+     * @param task the task, not null
+     */
+    public void onDisconnect(Runnable task) {
+        if (guard != null) {
+            guard.onClose(task);
+        }
+    }
+
     /**
      * Returns a header that is a whole number.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -4,10 +4,8 @@
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
 import io.jooby.MediaType;
-import io.jooby.Server;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
-import io.jooby.netty.NettyServer;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -28,7 +26,8 @@
 
     private final Jooby app = new Jooby();
     private final ServerOptions options = new ServerOptions();
-    private Server server;
+    private final GuardedNettyServer server;
+    private boolean started;
 
     /**
      * Creates a server that does not listen yet.
@@ -40,19 +39,32 @@
      * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
      */
     public HttpServer(String host, int port, int maxBodyBytes) {
+        this(host, port, maxBodyBytes, ServerLimits.DEFAULT);
+    }
+
+    /**
+     * Creates a server with given limits that does not listen yet.
+     *
+     * @param host the IP number to listen on, not null
+     * @param port the port to listen on; 0 for any free one
+     * @param maxBodyBytes the longest request body that is accepted, in bytes
+     * @param limits bounds what the connections may take, not null
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
+     */
+    public HttpServer(String host, int port, int maxBodyBytes, ServerLimits limits) {
         if (maxBodyBytes <= 0) {
             throw new IllegalArgumentException("maxBodyBytes is not positive: " + maxBodyBytes);
         }
         System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false");
         System.setProperty(NO_NATIVE_PROPERTY, "true");
         options.setHost(Objects.requireNonNull(host, "host"));
-        options.setPort(port);
         options.setIoThreads(IO_THREADS);
         options.setWorkerThreads(WORKER_THREADS);
         options.setMaxRequestSize(maxBodyBytes);
         options.setDefaultHeaders(false);
         app.setExecutionMode(ExecutionMode.EVENT_LOOP);
         app.error(HttpServer::sendError);
+        server = new GuardedNettyServer(new ServerLoad(limits), port);
     }
 
     /**
@@ -69,7 +81,8 @@
 
     /** Starts to listen. */
     public void start() {
-        server = new NettyServer().setOptions(options).start(app);
+        server.setOptions(options).start(app);
+        started = true;
     }
 
     /**
@@ -78,13 +91,13 @@
      * @return the port
      */
     public int port() {
-        return options.getPort();
+        return server.port();
     }
 
     /** Stops listening and closes all connections; does nothing before the start. */
     @Override
     public void close() {
-        if (server != null) {
+        if (started) {
             server.stop();
         }
     }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/entry/RequestServiceTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/entry/RequestServiceTest.java
@@ -29,7 +29,7 @@
     }
 
     @AfterEach
-    void close() throws Exception {
+    void close() {
         bed.close();
     }
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/entry/RequestTestBed.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/entry/RequestTestBed.java
@@ -49,7 +49,7 @@
     final List<Node> agents = new CopyOnWriteArrayList<>();
     final List<Entry> entries = new CopyOnWriteArrayList<>();
     final HttpClient caller = HttpClient.newHttpClient();
-    private final List<AutoCloseable> open = new ArrayList<>();
+    private final List<Runnable> open = new ArrayList<>();
 
     /** Is one entry with its server. */
     record Entry(RequestService service, HttpServer server, Metrics metrics) {}
@@ -211,9 +211,7 @@
     }
 
     @Override
-    public void close() throws Exception {
-        for (AutoCloseable closeable : open) {
-            closeable.close();
-        }
+    public void close() {
+        open.forEach(Runnable::run);
     }
 }
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/http/ConnectionGuardTest.java
@@ -0,0 +1,170 @@
+package org.fescueloom.daemon.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class ConnectionGuardTest {
+    private static final int MAX_BODY = 1 << 20;
+    private static final int READ_TIMEOUT_MILLIS = 10_000;
+    private static final ServerLimits LIMITS =
+            new ServerLimits(
+                    3,
+                    2L << 20,
+                    Duration.ofMillis(1_500),
+                    Duration.ofMillis(1_500),
+                    Duration.ofSeconds(60));
+
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final CountDownLatch disconnected = new CountDownLatch(1);
+    private HttpServer server;
+
+    @BeforeEach
+    void open() {
+        server = new HttpServer("127.0.0.1", 0, MAX_BODY, LIMITS);
+        server.route("POST", "/echo/{millis}", this::echo);
+        server.start();
+    }
+
+    @AfterEach
+    void close() {
+        server.close();
+        timer.shutdownNow();
+    }
+
+    private CompletableFuture<HttpReply> echo(HttpCall call) {
+        call.onDisconnect(disconnected::countDown);
+        String type = call.header("Content-Type").orElse("none");
+        HttpReply reply =
+                new HttpReply(HttpReply.OK, "text/plain", Map.of("Type", type), call.body());
+        CompletableFuture<HttpReply> later = new CompletableFuture<>();
+        long millis = Long.parseLong(call.path("millis"));
+        timer.schedule(() -> later.complete(reply), millis, TimeUnit.MILLISECONDS);
+        return later;
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", server.port());
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
+    }
+
+    private static String post(int millis, String type, String body) {
+        return "POST /echo/"
+                + millis
+                + " HTTP/1.1\r\nHost: x\r\nContent-Type: "
+                + type
+                + "\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    private static String readUntil(Socket socket, String end) throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream in = socket.getInputStream();
+        for (int c = in.read(); c >= 0; c = in.read()) {
+            text.append((char) c);
+            if (text.toString().endsWith(end)) {
+                break;
+            }
+        }
+        return text.toString();
+    }
+
+    @Nested
+    class Answers {
+        @Test
+        void keepTheOrderOfPipelinedRequests() throws IOException {
+            try (Socket socket = connect()) {
+                send(socket, post(300, "text/plain", "first") + post(0, "text/plain", "second"));
+                String text = readUntil(socket, "second");
+                assertThat(text.indexOf("first")).isPositive().isLessThan(text.indexOf("second"));
+            }
+        }
+
+        @Test
+        void carryFormsAsTheyCame() throws IOException {
+            String type = "application/x-www-form-urlencoded";
+            try (Socket socket = connect()) {
+                send(socket, post(0, type, "a=1&b=%20"));
+                assertThat(readUntil(socket, "a=1&b=%20")).contains("a=1&b=%20").contains(type);
+            }
+        }
+    }
+
+    @Nested
+    class Limits {
+        @Test
+        void closeAConnectionWhoseRequestNeverArrivesWhole() throws IOException {
+            try (Socket socket = connect()) {
+                send(socket, "POST /echo/0 HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc");
+                assertThat(socket.getInputStream().read()).isEqualTo(-1);
+            }
+        }
+
+        @Test
+        void refuseHeadersThatAreTooLong() throws IOException {
+            try (Socket socket = connect()) {
+                send(socket, "POST /echo/0 HTTP/1.1\r\nLong: " + "x".repeat(20_000) + "\r\n\r\n");
+                assertThat(readUntil(socket, "}")).contains("400").contains("malformed-input");
+            }
+        }
+
+        @Test
+        void refuseBodiesThatAreTooLong() throws IOException {
+            try (Socket socket = connect()) {
+                String head = "POST /echo/0 HTTP/1.1\r\nHost: x\r\nContent-Length: ";
+                send(socket, head + (MAX_BODY + 1) + "\r\n\r\n" + "x".repeat(MAX_BODY + 1));
+                assertThat(readUntil(socket, "}")).contains("413").contains("not-run");
+            }
+        }
+
+        @Test
+        void closeConnectionsBeyondTheMost() throws IOException {
+            Socket[] sockets = new Socket[4];
+            for (int i = 0; i < sockets.length; i++) {
+                sockets[i] = connect();
+            }
+            assertThat(sockets[3].getInputStream().read()).isEqualTo(-1);
+            send(sockets[0], post(0, "text/plain", "still here"));
+            assertThat(readUntil(sockets[0], "still here")).contains("200");
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    @Nested
+    class Disconnect {
+        @Test
+        void isToldWhileTheRequestIsInProgress() throws Exception {
+            try (Socket socket = connect()) {
+                send(socket, post(20_000, "text/plain", "bye"));
+                assertThat(disconnected.await(200, TimeUnit.MILLISECONDS)).isFalse();
+            }
+            assertThat(disconnected.await(10, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+}
