--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
@@ -32,8 +32,9 @@
  *
  * <p>Closes it when a request takes too long to arrive, an answer too long to be taken, or no
  * request comes; refuses what exceeds the limits; hands on one request after the other, so that
- * answers keep the order of pipelined requests; and tells when the other side goes away. Runs on
- * the event loop of its connection alone.
+ * answers keep the order of pipelined requests; sends each answer at once, also one that another
+ * event loop has completed; and tells when the other side goes away. Runs on the event loop of its
+ * connection alone.
  */
 final class ConnectionGuard extends ChannelDuplexHandler {
     /** The header that keeps the content type of a form, which the server must not take apart. */
@@ -237,6 +238,9 @@
                     }
                 });
         super.write(context, message, listened);
+        if (last) {
+            context.flush();
+        }
     }
 
     private void resume(ChannelHandlerContext context) throws Exception {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
 import io.netty.handler.codec.http.multipart.DefaultHttpDataFactory;
 import io.netty.handler.codec.http.multipart.HttpDataFactory;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -148,6 +149,7 @@
                             "codec",
                             new HttpServerCodec(
                                     MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    .addLast("expect-continue", new HttpServerExpectContinueHandler())
                     .addLast("guard", new ConnectionGuard(load))
                     .addLast(
                             "handler",
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -3,7 +3,6 @@
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
-import io.jooby.MediaType;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
 import java.util.Objects;
@@ -139,7 +138,7 @@
 
     private static void write(Context context, HttpReply reply) {
         context.setResponseCode(reply.status());
-        context.setResponseType(MediaType.valueOf(reply.contentType()));
+        context.setResponseType(reply.contentType());
         reply.headers().forEach(context::setResponseHeader);
         context.send(reply.body());
     }
