Prove the request path under silent connections, repeats, leaving, overload and lost callers

Cause: no test brought about these failures; the first run of SilentConnection found a fault: an attempt that a silent connection swallowed was cancelled and not tried again at the same upstream. Ruled out: counting such a retry against the budget: it cost no upstream any work. Change: RequestFaultsTest; an attempt that went astray may be repeated at its upstream, free of charge.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
@@ -351,6 +351,9 @@
                         && failure.type() != FailureType.UPSTREAM_UNREACHABLE;
         end(attempt, healthy ? AttemptResult.REFUSED : AttemptResult.FAILURE);
         lastFailure = failure;
+        if (failure.type() == FailureType.ATTEMPT_CANCELLED) {
+            tried.remove(attempt.chosen.upstream());
+        }
         note(
                 RequestStepKind.ATTEMPT_FAILED,
                 attempt,
@@ -390,7 +393,7 @@
                 progress.attempts() < MAX_ATTEMPTS
                         && System.nanoTime() < input.deadlineNanos()
                         && reason != FailureType.NO_UPSTREAM;
-        boolean allowed = possible && (isChangeOfMembers(reason) || context.pool().trySpendRetry());
+        boolean allowed = possible && (isFreeOfCharge(reason) || context.pool().trySpendRetry());
         if (allowed) {
             context.metrics().countRetry(reason);
             trail.add(RequestStepKind.RETRY, "because of " + reason.text());
@@ -400,9 +403,15 @@
         return progress.retryDecided(allowed);
     }
 
-    private static boolean isChangeOfMembers(FailureType reason) {
+    /** Tells whether a retry costs no upstream any work, because the attempt went astray. */
+    private static boolean isFreeOfCharge(FailureType reason) {
         return switch (reason) {
-            case UPSTREAM_LEAVING, SHUTTING_DOWN, INCARNATION_MISMATCH, ZONE_OUT -> true;
+            case ATTEMPT_CANCELLED,
+                    UPSTREAM_LEAVING,
+                    SHUTTING_DOWN,
+                    INCARNATION_MISMATCH,
+                    ZONE_OUT ->
+                    true;
             default -> false;
         };
     }
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/entry/RequestFaultsTest.java
@@ -0,0 +1,216 @@
+package org.fescueloom.daemon.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.fescueloom.failure.FailureBody;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.json.Json;
+import org.fescueloom.standins.ListenAddress;
+import org.fescueloom.standins.harness.SilentRelay;
+import org.fescueloom.wire.Headers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class RequestFaultsTest {
+    private RequestTestBed bed;
+    private RequestTestBed.Entry entry;
+
+    @BeforeEach
+    void open() {
+        bed = new RequestTestBed();
+        entry = bed.entry("entry-1");
+    }
+
+    @AfterEach
+    void close() {
+        bed.close();
+    }
+
+    private CompletableFuture<HttpResponse<byte[]>> send(
+            RequestTestBed.Entry through, String id, boolean idempotent) {
+        return bed.request(
+                through,
+                id.getBytes(StandardCharsets.UTF_8),
+                Headers.REQUEST_ID,
+                id,
+                Headers.IDEMPOTENT,
+                Boolean.toString(idempotent));
+    }
+
+    private static void assertOwnAnswer(HttpResponse<byte[]> answer, String id) {
+        assertThat(answer.statusCode()).as(new String(answer.body())).isEqualTo(200);
+        assertThat(answer.body()).asString().isEqualTo("echo:" + id);
+    }
+
+    private static HttpResponse<byte[]> withinTarget(
+            CompletableFuture<HttpResponse<byte[]>> answer) {
+        return answer.orTimeout(RequestTestBed.TARGET_MILLIS, TimeUnit.MILLISECONDS).join();
+    }
+
+    private int runs(String id) {
+        return bed.agents.stream().mapToInt(a -> a.upstream.runsOf(id)).sum();
+    }
+
+    private static void await(BooleanSupplier condition) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("time").isLessThan(end);
+            Thread.sleep(5);
+        }
+    }
+
+    @Nested
+    class SilentConnection {
+        @Test
+        void costsNoAnswerWhetherIdempotentOrNot() throws Exception {
+            RequestTestBed.Node node = bed.agent("a", 4);
+            String[] address = node.address().split(":");
+            try (SilentRelay relay =
+                    new SilentRelay(new ListenAddress(address[0], Integer.parseInt(address[1])))) {
+                node.announcedAddress = relay.address();
+                assertOwnAnswer(send(entry, "warm", false).join(), "warm");
+                relay.silence();
+                assertOwnAnswer(withinTarget(send(entry, "idle", false)), "idle");
+                assertThat(runs("idle")).isEqualTo(1);
+                node.upstream.delayMillis = 600;
+                for (boolean idempotent : new boolean[] {false, true}) {
+                    String id = "silent-after-sending-" + idempotent;
+                    CompletableFuture<HttpResponse<byte[]>> answer = send(entry, id, idempotent);
+                    await(() -> runs(id) == 1);
+                    relay.silence();
+                    assertOwnAnswer(withinTarget(answer), id);
+                    assertThat(runs(id)).isEqualTo(1);
+                }
+            }
+        }
+    }
+
+    @Nested
+    class CallersRepeat {
+        private RequestTestBed.Entry second;
+
+        @BeforeEach
+        void open() {
+            second = bed.entry("entry-2");
+            for (String name : List.of("a", "b", "c")) {
+                bed.agent(name, 4).upstream.delayMillis = 300;
+            }
+        }
+
+        @Test
+        void throughAnotherEntryMeetsTheFirstRun() throws Exception {
+            CompletableFuture<HttpResponse<byte[]>> first = send(entry, "r", false);
+            await(() -> runs("r") == 1);
+            assertOwnAnswer(send(second, "r", false).join(), "r");
+            assertOwnAnswer(first.join(), "r");
+            assertOwnAnswer(send(second, "r", false).join(), "r");
+            assertThat(runs("r")).isEqualTo(1);
+        }
+
+        @Test
+        void atTheSameTimeRunsOnce() {
+            List<CompletableFuture<HttpResponse<byte[]>>> answers = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                answers.add(send(entry, "same-" + i, false));
+                answers.add(send(second, "same-" + i, false));
+            }
+            for (int i = 0; i < 20; i++) {
+                assertThat(answers.get(2 * i).join().statusCode()).isIn(200, 503, 504);
+                assertThat(answers.get(2 * i + 1).join().statusCode()).isIn(200, 503, 504);
+                assertThat(runs("same-" + i)).isLessThanOrEqualTo(1);
+            }
+        }
+
+        @Test
+        void withAnotherBodyIsRefused() {
+            assertOwnAnswer(send(entry, "r", false).join(), "r");
+            for (RequestTestBed.Entry through : List.of(entry, second)) {
+                HttpResponse<byte[]> other =
+                        bed.request(through, new byte[] {1}, Headers.REQUEST_ID, "r").join();
+                assertThat(other.statusCode()).isEqualTo(409);
+                assertThat(Json.read(other.body(), FailureBody.class).error())
+                        .isEqualTo(FailureType.IDENTIFIER_REUSED);
+            }
+            assertThat(runs("r")).isEqualTo(1);
+        }
+    }
+
+    @Nested
+    class LeavingUpstream {
+        @Test
+        void getsNothingNewThoughItsAnnouncementIsLost() {
+            RequestTestBed.Node leaving = bed.agent("a", 8);
+            bed.agent("b", 8);
+            leaving.leavingLost = true;
+            bed.register(leaving, 8, true);
+            int before = leaving.upstream.runs.size();
+            for (int i = 0; i < 50; i++) {
+                HttpResponse<byte[]> answer = send(entry, "l" + i, false).join();
+                assertOwnAnswer(answer, "l" + i);
+            }
+            assertThat(leaving.upstream.runs).hasSize(before);
+        }
+    }
+
+    @Nested
+    class Overload {
+        @Test
+        void refusesAtOnceAndNeverRunsWhatItRefused() {
+            RequestTestBed.Node node = bed.agent("a", 2);
+            node.upstream.delayMillis = 100;
+            for (int i = 0; i < 5; i++) {
+                send(entry, "warm" + i, true).join();
+            }
+            List<CompletableFuture<HttpResponse<byte[]>>> answers = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                answers.add(
+                        bed.request(
+                                entry,
+                                new byte[10],
+                                Headers.REQUEST_ID,
+                                "o" + i,
+                                Headers.DEADLINE_MILLIS,
+                                "1000"));
+            }
+            int refused = 0;
+            for (int i = 0; i < answers.size(); i++) {
+                HttpResponse<byte[]> answer = answers.get(i).join();
+                if (answer.statusCode() != 200) {
+                    refused++;
+                    assertThat(answer.statusCode()).isIn(429, 503);
+                    assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+                    assertThat(runs("o" + i)).isZero();
+                }
+            }
+            assertThat(refused).isBetween(300, 395);
+        }
+    }
+
+    @Nested
+    class CancelledCallers {
+        @Test
+        void loseTheirQueuedWork() throws Exception {
+            RequestTestBed.Node node = bed.agent("a", 1);
+            node.upstream.delayMillis = 500;
+            List<CompletableFuture<HttpResponse<byte[]>>> answers = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                answers.add(send(entry, "c" + i, true));
+            }
+            await(() -> node.service.status().queued() == 5);
+            answers.forEach(a -> a.cancel(true));
+            await(() -> node.service.status().queued() == 0);
+            assertThat(node.upstream.runs).hasSizeLessThanOrEqualTo(2);
+        }
+    }
+}
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/entry/RequestTestBed.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/entry/RequestTestBed.java
@@ -38,12 +38,13 @@
 /** Runs entries, agents and small upstreams over loopback in one process. */
 final class RequestTestBed implements AutoCloseable {
     static final String CLASS = "culvert";
+    static final long TARGET_MILLIS = 5_000;
     static final String CUSTOMER = "parks";
     private static final int MAX_BODY = 4 << 20;
 
     final ConfigurationDocument config =
             new ConfigurationDocument(
-                    List.of(new ServiceClass(CLASS, 5_000, 0, 1 << 20)),
+                    List.of(new ServiceClass(CLASS, TARGET_MILLIS, 0, 1 << 20)),
                     List.of(new CustomerPolicy(CUSTOMER, 0.5, null)),
                     List.of(new Zone("north-yard", null, null, null)));
     final List<Node> agents = new CopyOnWriteArrayList<>();
@@ -63,6 +64,8 @@
         final HttpServer server = new HttpServer("127.0.0.1", 0, MAX_BODY);
         final AgentService service;
         volatile boolean hidden;
+        volatile boolean leavingLost;
+        volatile boolean upstreamLeaving;
         volatile String announcedAddress;
 
         Node(String name, long incarnation, ConfigurationDocument config) {
@@ -79,6 +82,10 @@
             return "127.0.0.1:" + server.port();
         }
 
+        private boolean leaving() {
+            return !leavingLost && service.isLeaving();
+        }
+
         Member member() {
             String address = announcedAddress == null ? address() : announcedAddress;
             Announcement announcement =
@@ -88,11 +95,11 @@
                             incarnation,
                             address,
                             "north-yard",
-                            service.isLeaving(),
+                            leaving(),
                             1,
                             service.status(),
                             null);
-            MemberState state = service.isLeaving() ? MemberState.LEAVING : MemberState.ALIVE;
+            MemberState state = leaving() ? MemberState.LEAVING : MemberState.ALIVE;
             return new Member(announcement, System.nanoTime() / 100_000_000L, state);
         }
     }
@@ -143,10 +150,13 @@
         open.add(node.upstream.server::close);
         open.add(node.upstream.timer::shutdownNow);
         register(node, slots, false);
+        node.upstream.timer.scheduleAtFixedRate(
+                () -> register(node, slots, node.upstreamLeaving), 1, 1, TimeUnit.SECONDS);
         return node;
     }
 
     void register(Node node, int slots, boolean leaving) {
+        node.upstreamLeaving = leaving;
         UpstreamRegistration registration =
                 new UpstreamRegistration(
                         "up-" + node.name,
@@ -159,14 +169,6 @@
                         .PUT(HttpRequest.BodyPublishers.ofByteArray(Json.write(registration)))
                         .build();
         send(request).join();
-        node.upstream.timer.schedule(
-                () -> {
-                    if (!leaving) {
-                        register(node, slots, false);
-                    }
-                },
-                1,
-                TimeUnit.SECONDS);
     }
 
     Entry entry(String name) {
