--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AgentService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AgentService.java
@@ -258,6 +258,7 @@
         scheduler.finish(attempt, answer, failure, elapsed);
         attempt.releaseBody();
         if (answer == null) {
+            noteUpstreamFailure(failure.type());
             attempt.answer.completeExceptionally(failure);
         } else {
             metrics.timer("attempts.service").update(elapsed, TimeUnit.NANOSECONDS);
@@ -266,6 +267,16 @@
         startNext();
     }
 
+    /** Keeps further attempts from connections and upstreams that are most likely gone. */
+    private void noteUpstreamFailure(FailureType type) {
+        if (type == FailureType.OUTCOME_UNKNOWN || type == FailureType.UPSTREAM_UNREACHABLE) {
+            upstreamClient.closeIdle();
+        }
+        if (type == FailureType.UPSTREAM_UNREACHABLE) {
+            scheduler.upstreamGone();
+        }
+    }
+
     private HttpReply reply(AttemptAnswer answer, Throwable error) {
         return error == null ? reply(answer) : refusal(asFailure(error));
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AttemptScheduler.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AttemptScheduler.java
@@ -84,6 +84,11 @@
         return link.register(registration, nanoTime.getAsLong());
     }
 
+    /** Counts the upstream as absent until it registers again. */
+    synchronized void upstreamGone() {
+        link.clear();
+    }
+
     /**
      * Takes in an attempt.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/UpstreamClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/UpstreamClient.java
@@ -61,6 +61,11 @@
                 .handle((answer, error) -> error == null ? judge(attempt, answer) : fail(error));
     }
 
+    /** Closes the connections that no call uses now. */
+    void closeIdle() {
+        client.closeIdle();
+    }
+
     /** Ends all calls. */
     @Override
     public void close() {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/UpstreamLink.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/UpstreamLink.java
@@ -32,6 +32,11 @@
         return changed;
     }
 
+    /** Forgets the upstream until it registers again. */
+    void clear() {
+        registration = null;
+    }
+
     /**
      * Returns the upstream, also when it is leaving.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/AttemptClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/AttemptClient.java
@@ -129,6 +129,7 @@
             AttemptId id, AgentTarget agent, HttpAnswer answer, Throwable error) {
         if (error != null) {
             Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+            closeIdleIfRefused(cause);
             return cause instanceof ConnectException
                     ? AttemptReport.failed(
                             FailureType.UPSTREAM_UNREACHABLE, "the agent refused the connection")
@@ -149,6 +150,7 @@
             AttemptId id, AgentTarget agent, HttpAnswer answer, Throwable error) {
         if (error != null) {
             Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+            closeIdleIfRefused(cause);
             return cause instanceof ConnectException
                     ? AttemptReport.refused("nothing listens at the address of the agent")
                     : AttemptReport.lost("the agent does not answer: " + cause);
@@ -174,6 +176,13 @@
                 : AttemptReport.lost("the agent gave no state of the attempt");
     }
 
+    /** Closes idle connections: those to a process that is gone would only be found out by use. */
+    private void closeIdleIfRefused(Throwable cause) {
+        if (cause instanceof ConnectException) {
+            attempts.closeIdle();
+        }
+    }
+
     private static AttemptReport readAnswer(HttpAnswer answer) {
         Optional<Integer> status = answer.header(Headers.UPSTREAM_STATUS).map(Integer::valueOf);
         if (status.isEmpty()) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/AttemptWatch.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/AttemptWatch.java
@@ -13,6 +13,7 @@
 
     private static final long PAUSE_MILLIS = 100;
     private static final int MAX_SILENT = 2;
+    private static final int MAX_SILENT_IDEMPOTENT = 1;
     private static final int MAX_REFUSED = 2;
     private static final Duration TIMEOUT = Duration.ofMillis(1_000);
 
@@ -85,7 +86,8 @@
                 silent++;
                 refused += report.kind() == AttemptReport.Kind.REFUSED ? 1 : 0;
                 boolean patient = !idempotent && now < deadlineNanos;
-                if (refused >= MAX_REFUSED || silent >= MAX_SILENT && !patient) {
+                int enough = idempotent ? MAX_SILENT_IDEMPOTENT : MAX_SILENT;
+                if (refused >= MAX_REFUSED || silent >= enough && !patient) {
                     result.complete(AttemptReport.lost(report.failure().getMessage()));
                 } else {
                     again();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/ClaimClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/ClaimClient.java
@@ -10,6 +10,7 @@
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.member.Member;
+import org.fescueloom.member.MemberState;
 import org.fescueloom.member.RendezvousHash;
 import org.fescueloom.request.ClaimTally;
 import org.fescueloom.wire.ClaimReply;
@@ -18,8 +19,8 @@
 /**
  * Records claims at the agents that a rendezvous hash of the identifier names.
  *
- * <p>All known agents are counted, leaving and suspected ones too, so that the choice stays the
- * same while one of them is silent.
+ * <p>All known agents but the leaving ones are counted, suspected ones too, so that the choice
+ * stays the same while one of them is silent.
  */
 final class ClaimClient implements AutoCloseable {
     private static final int HOLDERS = 3;
@@ -96,7 +97,9 @@
     }
 
     private List<Member> holders(String request) {
-        return RendezvousHash.top(request, agents.get(), Member::id, HOLDERS);
+        List<Member> staying =
+                agents.get().stream().filter(a -> a.state() != MemberState.LEAVING).toList();
+        return RendezvousHash.top(request, staying, Member::id, HOLDERS);
     }
 
     private CompletableFuture<ClaimReply> ask(Member holder, RequestClaim claim) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
@@ -32,10 +32,11 @@
     private static final int MAX_SILENT_QUESTIONS = 2;
     private static final long LATE_GRACE_NANOS = 30_000_000_000L;
     private static final long SHORTEST_PROBE_NANOS = 100_000_000L;
-    private static final long LONGEST_PROBE_NANOS = 1_000_000_000L;
+    private static final long LONGEST_FIRST_PROBE_NANOS = 500_000_000L;
+    private static final long LONGEST_PROBE_NANOS = 2_000_000_000L;
     private static final long PROBE_PAUSE_NANOS = 100_000_000L;
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
-    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
 
     private final RequestInput input;
     private final RequestContext context;
@@ -50,6 +51,7 @@
     private SchedulerException lastFailure;
     private AttemptAnswer answer;
     private String servedBy;
+    private boolean nowhereElse;
 
     /**
      * Creates a run that has not started.
@@ -149,6 +151,7 @@
     private boolean chooseAttempt() {
         Optional<UpstreamPool.Chosen> chosen = context.pool().choose(tried);
         if (chosen.isEmpty()) {
+            nowhereElse = true;
             if (lastFailure == null) {
                 lastFailure = failure(FailureType.NO_UPSTREAM, "no upstream takes work now");
             }
@@ -275,7 +278,7 @@
         switch (report.kind()) {
             case RUNNING -> {
                 attempt.silent = 0;
-                attempt.probeNanos = Math.min(2 * attempt.probeNanos, 2 * LONGEST_PROBE_NANOS);
+                attempt.probeNanos = Math.min(2 * attempt.probeNanos, LONGEST_PROBE_NANOS);
                 later(attempt.probeNanos, () -> probe(attempt));
                 return Optional.empty();
             }
@@ -392,7 +395,7 @@
         boolean possible =
                 progress.attempts() < MAX_ATTEMPTS
                         && System.nanoTime() < input.deadlineNanos()
-                        && reason != FailureType.NO_UPSTREAM;
+                        && !nowhereElse;
         boolean allowed = possible && (isFreeOfCharge(reason) || context.pool().trySpendRetry());
         if (allowed) {
             context.metrics().countRetry(reason);
@@ -407,6 +410,7 @@
     private static boolean isFreeOfCharge(FailureType reason) {
         return switch (reason) {
             case ATTEMPT_CANCELLED,
+                    NO_UPSTREAM,
                     UPSTREAM_LEAVING,
                     SHUTTING_DOWN,
                     INCARNATION_MISMATCH,
@@ -474,7 +478,7 @@
 
     private static long firstProbeNanos(Attempt attempt) {
         long nanos = Math.max(SHORTEST_PROBE_NANOS, 2 * attempt.chosen.expectedNanos());
-        return Math.min(LONGEST_PROBE_NANOS, nanos);
+        return Math.min(LONGEST_FIRST_PROBE_NANOS, nanos);
     }
 
     private void later(long nanos, Runnable task) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
@@ -45,6 +45,8 @@
     private static final String OPAQUE = "application/octet-stream";
 
     private final ServerLoad load;
+    private final int maxBodyBytes;
+    private final Deque<Object> arriving = new ArrayDeque<>();
     private final Deque<Object> pending = new ArrayDeque<>();
     private final List<Runnable> onClose = new ArrayList<>();
     private ScheduledFuture<?> check;
@@ -66,9 +68,11 @@
      * Creates the guard of a new connection.
      *
      * @param load counts what the connections of the server take, not null
+     * @param maxBodyBytes the longest request body that the server takes, in bytes
      */
-    ConnectionGuard(ServerLoad load) {
+    ConnectionGuard(ServerLoad load, int maxBodyBytes) {
         this.load = load;
+        this.maxBodyBytes = maxBodyBytes;
     }
 
     /**
@@ -114,8 +118,7 @@
         }
         load.hold(-receivedBytes);
         receivedBytes = 0;
-        pending.forEach(ReferenceCountUtil::release);
-        pending.clear();
+        releaseAll();
         if (!answerWhole) {
             onClose.forEach(Runnable::run);
         }
@@ -135,20 +138,39 @@
     }
 
     private void handOn(ChannelHandlerContext context, Object message) throws Exception {
-        if (message instanceof HttpRequest request && !begin(context, request)
-                || message instanceof HttpContent content && !receive(context, content)) {
+        boolean taken =
+                message instanceof HttpRequest request && begin(context, request)
+                        || message instanceof HttpContent content && receive(context, content);
+        if (!taken) {
             ReferenceCountUtil.release(message);
             return;
         }
+        arriving.addLast(message);
+        if (requestWhole || receivedBytes > maxBodyBytes) {
+            deliver(context);
+        }
+        if (requestWhole) {
+            resume(context);
+        }
+    }
+
+    /** Gives the server a request that is whole, or too long; it would not free half of one. */
+    private void deliver(ChannelHandlerContext context) throws Exception {
         CURRENT.set(this);
         try {
-            super.channelRead(context, message);
+            while (!arriving.isEmpty()) {
+                super.channelRead(context, arriving.removeFirst());
+            }
         } finally {
             CURRENT.remove();
         }
-        if (message instanceof LastHttpContent) {
-            resume(context);
-        }
+    }
+
+    private void releaseAll() {
+        arriving.forEach(ReferenceCountUtil::release);
+        arriving.clear();
+        pending.forEach(ReferenceCountUtil::release);
+        pending.clear();
     }
 
     private boolean begin(ChannelHandlerContext context, HttpRequest request) {
@@ -211,7 +233,7 @@
         if (type.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, "1");
         }
-        requestWhole = true;
+        releaseAll();
         context.channel().config().setAutoRead(false);
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
@@ -150,7 +150,7 @@
                             new HttpServerCodec(
                                     MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                     .addLast("expect-continue", new HttpServerExpectContinueHandler())
-                    .addLast("guard", new ConnectionGuard(load))
+                    .addLast("guard", new ConnectionGuard(load, options.getMaxRequestSize()))
                     .addLast(
                             "handler",
                             new NettyHandler(
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/entry/RequestFaultsTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/entry/RequestFaultsTest.java
@@ -202,15 +202,15 @@
         @Test
         void loseTheirQueuedWork() throws Exception {
             RequestTestBed.Node node = bed.agent("a", 1);
-            node.upstream.delayMillis = 500;
+            node.upstream.delayMillis = 20_000;
             List<CompletableFuture<HttpResponse<byte[]>>> answers = new ArrayList<>();
             for (int i = 0; i < 6; i++) {
-                answers.add(send(entry, "c" + i, true));
+                answers.add(bed.request(entry, new byte[] {1}, Headers.REQUEST_ID, "c" + i));
             }
             await(() -> node.service.status().queued() == 5);
             answers.forEach(a -> a.cancel(true));
             await(() -> node.service.status().queued() == 0);
-            assertThat(node.upstream.runs).hasSizeLessThanOrEqualTo(2);
+            assertThat(node.upstream.runs).hasSize(1);
         }
     }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/http/ConnectionGuardTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/http/ConnectionGuardTest.java
@@ -144,9 +144,12 @@
         @Test
         void closeConnectionsBeyondTheMost() throws IOException {
             Socket[] sockets = new Socket[4];
-            for (int i = 0; i < sockets.length; i++) {
+            for (int i = 0; i < 3; i++) {
                 sockets[i] = connect();
+                send(sockets[i], post(0, "text/plain", "here"));
+                assertThat(readUntil(sockets[i], "here")).contains("200");
             }
+            sockets[3] = connect();
             assertThat(sockets[3].getInputStream().read()).isEqualTo(-1);
             send(sockets[0], post(0, "text/plain", "still here"));
             assertThat(readUntil(sockets[0], "still here")).contains("200");
