--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Outcome;
@@ -34,6 +35,8 @@
     private static final long SHORTEST_PROBE_NANOS = 100_000_000L;
     private static final long LONGEST_FIRST_PROBE_NANOS = 500_000_000L;
     private static final long LONGEST_PROBE_NANOS = 2_000_000_000L;
+    private static final int MAX_DOUBTS = 4;
+    private static final long DOUBT_PAUSE_NANOS = 500_000_000L;
     private static final long PROBE_PAUSE_NANOS = 100_000_000L;
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
@@ -74,7 +77,9 @@
         private AttemptClient.Sent sent;
         private long probeNanos;
         private int silent;
+        private int doubts;
         private boolean over;
+        private ScheduledFuture<?> probe;
 
         private Attempt(AttemptId id, UpstreamPool.Chosen chosen) {
             this.id = id;
@@ -256,7 +261,7 @@
         attempt.sent = context.client().send(attempt.id, input, attempt.agent(), left, timeout);
         attempt.sent.report().thenAccept(report -> step(() -> onReport(attempt, report)));
         attempt.probeNanos = firstProbeNanos(attempt);
-        later(attempt.probeNanos, () -> probe(attempt));
+        probeLater(attempt, attempt.probeNanos);
         return Optional.empty();
     }
 
@@ -279,7 +284,7 @@
             case RUNNING -> {
                 attempt.silent = 0;
                 attempt.probeNanos = Math.min(2 * attempt.probeNanos, LONGEST_PROBE_NANOS);
-                later(attempt.probeNanos, () -> probe(attempt));
+                probeLater(attempt, attempt.probeNanos);
                 return Optional.empty();
             }
             case LOST, REFUSED -> {
@@ -287,10 +292,14 @@
                 if (attempt.silent >= MAX_SILENT_QUESTIONS) {
                     return lost(attempt, report.failure().getMessage());
                 }
-                later(PROBE_PAUSE_NANOS, () -> probe(attempt));
+                probeLater(attempt, PROBE_PAUSE_NANOS);
                 return Optional.empty();
             }
             default -> {
+                if (isForgotten(report) && ++attempt.doubts < MAX_DOUBTS) {
+                    probeLater(attempt, DOUBT_PAUSE_NANOS);
+                    return Optional.empty();
+                }
                 context.metrics().count("connections.silent");
                 retire(attempt, "the connection is silent, the agent answers on a fresh one");
                 return onReport(attempt, report);
@@ -298,6 +307,12 @@
         }
     }
 
+    /** Tells whether the agent has let go of the answer, which may still be on its way. */
+    private static boolean isForgotten(AttemptReport report) {
+        return report.kind() == AttemptReport.Kind.FAILED
+                && report.failure().type().outcome() == Outcome.UNKNOWN;
+    }
+
     private Optional<RequestAction> lost(Attempt attempt, String detail) {
         context.metrics().count("connections.lost");
         retire(attempt, detail);
@@ -426,6 +441,9 @@
 
     private void end(Attempt attempt, AttemptResult attemptResult) {
         attempt.over = true;
+        if (attempt.probe != null) {
+            attempt.probe.cancel(false);
+        }
         context.pool().recordEnd(attempt.chosen.upstream(), attemptResult);
     }
 
@@ -481,7 +499,7 @@
         return Math.min(LONGEST_FIRST_PROBE_NANOS, nanos);
     }
 
-    private void later(long nanos, Runnable task) {
-        context.timer().schedule(task, nanos, TimeUnit.NANOSECONDS);
+    private void probeLater(Attempt attempt, long nanos) {
+        attempt.probe = context.timer().schedule(() -> probe(attempt), nanos, TimeUnit.NANOSECONDS);
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
@@ -4,8 +4,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -48,13 +48,7 @@
     private final RequestContext context;
     private final RequestJournal journal = new RequestJournal(JOURNAL_SIZE);
     private final AdmissionQueue<Waiting> queue;
-    private final ScheduledExecutorService timer =
-            Executors.newSingleThreadScheduledExecutor(
-                    task -> {
-                        Thread thread = new Thread(task, "request-timer");
-                        thread.setDaemon(true);
-                        return thread;
-                    });
+    private final ScheduledExecutorService timer = timer();
     private long runningBytes;
     private int unfinished;
     private volatile boolean leaving;
@@ -320,6 +314,20 @@
         return config.get().zone(zone).filter(z -> z.state() == ZoneState.IN).isPresent();
     }
 
+    /** Creates a timer that forgets cancelled tasks at once, with what they hold. */
+    private static ScheduledExecutorService timer() {
+        ScheduledThreadPoolExecutor timer =
+                new ScheduledThreadPoolExecutor(
+                        1,
+                        task -> {
+                            Thread thread = new Thread(task, "request-timer");
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        timer.setRemoveOnCancelPolicy(true);
+        return timer;
+    }
+
     private double guaranteedShare(String customer) {
         return config.get().customer(customer).map(CustomerPolicy::guaranteedShare).orElse(0.0);
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
@@ -1,5 +1,6 @@
 package org.fescueloom.daemon.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
@@ -10,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -17,9 +19,9 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.fescueloom.failure.FailureBody;
 import org.fescueloom.failure.FailureType;
@@ -30,23 +32,20 @@
 /**
  * Guards one connection of a server.
  *
- * <p>Closes it when a request takes too long to arrive, an answer too long to be taken, or no
- * request comes; refuses what exceeds the limits; hands on one request after the other, so that
- * answers keep the order of pipelined requests; sends each answer at once, also one that another
- * event loop has completed; and tells when the other side goes away. Runs on the event loop of its
- * connection alone.
+ * <p>Collects the body of each request once, in the heap, and frees it when the connection ends
+ * early. Closes the connection when a request takes too long to arrive, an answer too long to be
+ * taken, or no request comes; refuses what exceeds the limits; hands on one request after the
+ * other, so that answers keep the order of pipelined requests; sends each answer at once, also one
+ * that another event loop has completed; and tells when the other side goes away. Runs on the event
+ * loop of its connection alone.
  */
 final class ConnectionGuard extends ChannelDuplexHandler {
-    /** The header that keeps the content type of a form, which the server must not take apart. */
-    static final String FORM_CONTENT_TYPE = "Form-Content-Type";
-
     private static final ThreadLocal<ConnectionGuard> CURRENT = new ThreadLocal<>();
     private static final long CHECK_MILLIS = 1_000;
-    private static final String OPAQUE = "application/octet-stream";
+    private static final byte[] NO_BODY = new byte[0];
 
     private final ServerLoad load;
     private final int maxBodyBytes;
-    private final Deque<Object> arriving = new ArrayDeque<>();
     private final Deque<Object> pending = new ArrayDeque<>();
     private final List<Runnable> onClose = new ArrayList<>();
     private ScheduledFuture<?> check;
@@ -54,7 +53,10 @@
     private boolean requestWhole = true;
     private boolean answerWhole = true;
     private long stageSinceNanos = System.nanoTime();
-    private long receivedBytes;
+    private HttpRequest head;
+    private byte[] body = NO_BODY;
+    private int bodyBytes;
+    private boolean tooLong;
 
     /** Names what a connection is doing. */
     private enum Stage {
@@ -116,8 +118,6 @@
         if (check != null) {
             check.cancel(false);
         }
-        load.hold(-receivedBytes);
-        receivedBytes = 0;
         releaseAll();
         if (!answerWhole) {
             onClose.forEach(Runnable::run);
@@ -138,85 +138,107 @@
     }
 
     private void handOn(ChannelHandlerContext context, Object message) throws Exception {
-        boolean taken =
-                message instanceof HttpRequest request && begin(context, request)
-                        || message instanceof HttpContent content && receive(context, content);
-        if (!taken) {
+        try {
+            if (message instanceof HttpRequest request) {
+                begin(context, request);
+            }
+            if (message instanceof HttpContent content) {
+                receive(context, content);
+            }
+        } finally {
             ReferenceCountUtil.release(message);
-            return;
-        }
-        arriving.addLast(message);
-        if (requestWhole || receivedBytes > maxBodyBytes) {
-            deliver(context);
-        }
-        if (requestWhole) {
-            resume(context);
         }
     }
 
-    /** Gives the server a request that is whole, or too long; it would not free half of one. */
+    /** Gives the server the head of a request whose body is whole, as a request without a body. */
     private void deliver(ChannelHandlerContext context) throws Exception {
+        head.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        head.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
         CURRENT.set(this);
         try {
-            while (!arriving.isEmpty()) {
-                super.channelRead(context, arriving.removeFirst());
-            }
+            super.channelRead(context, head);
+            super.channelRead(context, LastHttpContent.EMPTY_LAST_CONTENT);
         } finally {
             CURRENT.remove();
+            body = NO_BODY;
+            head = null;
         }
     }
 
+    /**
+     * Returns the body of the request that is being handled.
+     *
+     * @return the whole body, never null
+     */
+    byte[] body() {
+        return body.length == bodyBytes ? body : Arrays.copyOf(body, bodyBytes);
+    }
+
     private void releaseAll() {
-        arriving.forEach(ReferenceCountUtil::release);
-        arriving.clear();
+        load.hold(-bodyBytes);
+        bodyBytes = 0;
+        body = NO_BODY;
         pending.forEach(ReferenceCountUtil::release);
         pending.clear();
     }
 
-    private boolean begin(ChannelHandlerContext context, HttpRequest request) {
+    private void begin(ChannelHandlerContext context, HttpRequest request) {
         if (!request.decoderResult().isSuccess()) {
             refuse(context, FailureType.MALFORMED_INPUT, "the head of the request is not HTTP");
-            return false;
+            return;
         }
         requestWhole = false;
         answerWhole = false;
+        tooLong = false;
         onClose.clear();
+        head = request;
         enter(Stage.RECEIVING);
-        hideForm(request);
-        return true;
     }
 
-    /** Keeps the server from taking forms apart: a body goes to the upstream as it is. */
-    private static void hideForm(HttpRequest request) {
-        request.headers().remove(FORM_CONTENT_TYPE);
-        String type = request.headers().get(HttpHeaderNames.CONTENT_TYPE);
-        String lower = type == null ? "" : type.trim().toLowerCase(Locale.ROOT);
-        if (lower.startsWith("multipart/")
-                || lower.startsWith("application/x-www-form-urlencoded")) {
-            request.headers().set(FORM_CONTENT_TYPE, type);
-            request.headers().set(HttpHeaderNames.CONTENT_TYPE, OPAQUE);
-        }
-    }
-
-    private boolean receive(ChannelHandlerContext context, HttpContent content) {
+    private void receive(ChannelHandlerContext context, HttpContent content) throws Exception {
         if (requestWhole) {
-            return false;
+            return;
         }
         int bytes = content.content().readableBytes();
-        receivedBytes += bytes;
+        if (tooLong || bodyBytes + bytes > maxBodyBytes) {
+            passOver(context, content);
+            return;
+        }
+        append(content.content(), bytes);
         if (!load.hold(bytes)) {
             refuse(context, FailureType.OVERLOADED, "too many bytes are being received");
-            return false;
+            return;
         }
         if (content instanceof LastHttpContent) {
             requestWhole = true;
-            load.hold(-receivedBytes);
-            receivedBytes = 0;
-            if (stage == Stage.RECEIVING) {
-                enter(Stage.WORKING);
-            }
+            enter(Stage.WORKING);
+            load.hold(-bodyBytes);
+            deliver(context);
+            bodyBytes = 0;
+            resume(context);
+        }
+    }
+
+    /** Reads a body that is too long to its end, since closing at once could lose the refusal. */
+    private void passOver(ChannelHandlerContext context, HttpContent content) {
+        tooLong = true;
+        load.hold(-bodyBytes);
+        bodyBytes = 0;
+        body = NO_BODY;
+        if (content instanceof LastHttpContent) {
+            refuse(context, FailureType.BODY_TOO_LARGE, "the body is over the limit");
+        }
+    }
+
+    private void append(ByteBuf part, int bytes) {
+        int needed = bodyBytes + bytes;
+        if (needed > body.length) {
+            long declared = HttpUtil.getContentLength(head, 0L);
+            long larger = Math.max(declared, Math.max(needed, 2L * body.length));
+            body = Arrays.copyOf(body, (int) Math.min(maxBodyBytes, larger));
         }
-        return true;
+        part.readBytes(body, bodyBytes, bytes);
+        bodyBytes = needed;
     }
 
     private void refuse(ChannelHandlerContext context, FailureType type, String detail) {
@@ -234,6 +256,7 @@
             response.headers().set(HttpHeaderNames.RETRY_AFTER, "1");
         }
         releaseAll();
+        requestWhole = true;
         context.channel().config().setAutoRead(false);
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
@@ -255,6 +278,7 @@
                     load.hold(-bytes);
                     if (last) {
                         answerWhole = true;
+                        onClose.clear();
                         enter(requestWhole ? Stage.IDLE : Stage.RECEIVING);
                         resume(context);
                     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
@@ -38,6 +38,7 @@
     private static final long STOP_MILLIS = 2_000;
 
     private final ServerLoad load;
+    private final BodyBudget budget;
     private final List<Jooby> applications = new ArrayList<>();
     private ServerOptions options = new ServerOptions();
     private EventLoopGroup acceptor;
@@ -49,10 +50,12 @@
      * Creates a server that does not listen yet.
      *
      * @param load counts what the connections take, not null
+     * @param budget bounds the bodies of requests in progress, not null
      * @param port the port to listen on; 0 for any free one
      */
-    GuardedNettyServer(ServerLoad load, int port) {
+    GuardedNettyServer(ServerLoad load, BodyBudget budget, int port) {
         this.load = load;
+        this.budget = budget;
         this.port = port;
     }
 
@@ -150,6 +153,7 @@
                             new HttpServerCodec(
                                     MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                     .addLast("expect-continue", new HttpServerExpectContinueHandler())
+                    .addLast("budget", new BodyBudgetHandler(budget, options.getMaxRequestSize()))
                     .addLast("guard", new ConnectionGuard(load, options.getMaxRequestSize()))
                     .addLast(
                             "handler",
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
@@ -16,9 +16,8 @@
 
     HttpCall(Context context) {
         this.context = Objects.requireNonNull(context, "context");
-        this.guard = ConnectionGuard.current();
-        byte[] bytes = context.body().bytes();
-        this.body = bytes == null ? new byte[0] : bytes;
+        this.guard = Objects.requireNonNull(ConnectionGuard.current(), "guard");
+        this.body = guard.body();
     }
 
     /**
@@ -60,10 +59,6 @@
      * @return the value, or empty if it is missing
      */
     public Optional<String> header(String name) {
-        if (name.equalsIgnoreCase("Content-Type")) {
-            Optional<String> form = optional(context.header(ConnectionGuard.FORM_CONTENT_TYPE));
-            return form.isPresent() ? form : optional(context.header(name));
-        }
         return optional(context.header(name));
     }
 
@@ -74,9 +69,7 @@
      * @param task the task, not null
      */
     public void onDisconnect(Runnable task) {
-        if (guard != null) {
-            guard.onClose(task);
-        }
+        guard.onClose(task);
     }
 
     /**
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -23,6 +23,11 @@
     /** Keeps the native transport off: it unpacks a file, and VMs have no disks. */
     private static final String NO_NATIVE_PROPERTY = "io.netty.transport.noNative";
 
+    private static final long RETRY_MILLIS = 200;
+
+    /** The bytes of request bodies in progress; callers beyond it are refused. */
+    private static final long BODY_BUDGET_BYTES = 12L << 20;
+
     private final Jooby app = new Jooby();
     private final ServerOptions options = new ServerOptions();
     private final GuardedNettyServer server;
@@ -56,6 +61,7 @@
         }
         System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false");
         System.setProperty(NO_NATIVE_PROPERTY, "true");
+        BodyBudget budget = new BodyBudget(Math.max(BODY_BUDGET_BYTES, maxBodyBytes));
         options.setHost(Objects.requireNonNull(host, "host"));
         options.setIoThreads(IO_THREADS);
         options.setWorkerThreads(WORKER_THREADS);
@@ -63,7 +69,7 @@
         options.setDefaultHeaders(false);
         app.setExecutionMode(ExecutionMode.EVENT_LOOP);
         app.error(HttpServer::sendError);
-        server = new GuardedNettyServer(new ServerLoad(limits), port);
+        server = new GuardedNettyServer(new ServerLoad(limits), budget, port);
     }
 
     /**
@@ -104,6 +110,7 @@
     private static Object dispatch(Context context, HttpHandler handler) {
         CompletableFuture<HttpReply> reply;
         try {
+            requireBody(context);
             reply = handler.handle(new HttpCall(context));
         } catch (RuntimeException e) {
             reply = CompletableFuture.failedFuture(e);
@@ -112,6 +119,13 @@
         return context;
     }
 
+    private static void requireBody(Context context) {
+        if (!context.header(BodyBudgetHandler.DROPPED).isMissing()) {
+            throw new SchedulerException(
+                    FailureType.OVERLOADED, "too many bytes in progress", RETRY_MILLIS);
+        }
+    }
+
     private static void send(Context context, HttpReply reply, Throwable error) {
         try {
             write(context, error == null ? reply : HttpReply.failure(asFailure(error)));
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/http/ConnectionGuardTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/http/ConnectionGuardTest.java
@@ -136,7 +136,7 @@
         void refuseBodiesThatAreTooLong() throws IOException {
             try (Socket socket = connect()) {
                 String head = "POST /echo/0 HTTP/1.1\r\nHost: x\r\nContent-Length: ";
-                send(socket, head + (MAX_BODY + 1) + "\r\n\r\n" + "x".repeat(MAX_BODY + 1));
+                send(socket, head + 3 * MAX_BODY + "\r\n\r\n" + "x".repeat(3 * MAX_BODY));
                 assertThat(readUntil(socket, "}")).contains("413").contains("not-run");
             }
         }
