--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
@@ -4,8 +4,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -48,13 +48,7 @@
     private final RequestContext context;
     private final RequestJournal journal = new RequestJournal(JOURNAL_SIZE);
     private final AdmissionQueue<Waiting> queue;
-    private final ScheduledExecutorService timer =
-            Executors.newSingleThreadScheduledExecutor(
-                    task -> {
-                        Thread thread = new Thread(task, "request-timer");
-                        thread.setDaemon(true);
-                        return thread;
-                    });
+    private final ScheduledExecutorService timer = timer();
     private long runningBytes;
     private int unfinished;
     private volatile boolean leaving;
@@ -171,7 +165,7 @@
     private CompletableFuture<HttpReply> request(HttpCall call) {
         try {
             RequestInput input = RequestInput.read(call, config.get(), System.nanoTime());
-            return admit(input).thenApply(RequestResult::reply);
+            return admit(input, call).thenApply(RequestResult::reply);
         } catch (SchedulerException e) {
             metrics.countRefusal(e.type());
             HttpReply reply = HttpReply.failure(e);
@@ -181,7 +175,7 @@
         }
     }
 
-    private CompletableFuture<RequestResult> admit(RequestInput input) {
+    private CompletableFuture<RequestResult> admit(RequestInput input, HttpCall call) {
         if (draining) {
             throw new SchedulerException(
                     FailureType.SHUTTING_DOWN, "the entry is shutting down", SWEEP_MILLIS);
@@ -194,6 +188,7 @@
             unfinished++;
         }
         journal.add(trail);
+        call.onDisconnect(() -> callerGone(waiting));
         metrics.count("requests.accepted");
         startNext();
         return waiting.result;
@@ -264,6 +259,23 @@
         late.work().result.complete(new RequestResult(input.id(), null, null, 0, failure));
     }
 
+    private void callerGone(Waiting waiting) {
+        boolean removed;
+        synchronized (this) {
+            removed = queue.remove(queued(waiting));
+            if (removed) {
+                release(waiting.run.input());
+            }
+        }
+        waiting.run.callerGone();
+        if (removed) {
+            SchedulerException failure =
+                    new SchedulerException(FailureType.ATTEMPT_CANCELLED, "the caller went away");
+            String id = waiting.run.input().id();
+            waiting.result.complete(new RequestResult(id, null, null, 0, failure));
+        }
+    }
+
     private void run(QueuedAttempt<Waiting> next) {
         long startedNanos = System.nanoTime();
         next.work()
@@ -302,6 +314,20 @@
         return config.get().zone(zone).filter(z -> z.state() == ZoneState.IN).isPresent();
     }
 
+    /** Creates a timer that forgets cancelled tasks at once, with what they hold. */
+    private static ScheduledExecutorService timer() {
+        ScheduledThreadPoolExecutor timer =
+                new ScheduledThreadPoolExecutor(
+                        1,
+                        task -> {
+                            Thread thread = new Thread(task, "request-timer");
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        timer.setRemoveOnCancelPolicy(true);
+        return timer;
+    }
+
     private double guaranteedShare(String customer) {
         return config.get().customer(customer).map(CustomerPolicy::guaranteedShare).orElse(0.0);
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
@@ -12,11 +12,12 @@
 public final class HttpCall {
     private final Context context;
     private final byte[] body;
+    private final ConnectionGuard guard;
 
     HttpCall(Context context) {
         this.context = Objects.requireNonNull(context, "context");
-        byte[] bytes = context.body().bytes();
-        this.body = bytes == null ? new byte[0] : bytes;
+        this.guard = Objects.requireNonNull(ConnectionGuard.current(), "guard");
+        this.body = guard.body();
     }
 
     /**
@@ -58,7 +59,17 @@
      * @return the value, or empty if it is missing
      */
     public Optional<String> header(String name) {
-        return optional(context.header(name)).map(ConnectionHandlers::original);
+        return optional(context.header(name));
+    }
+
+    /**
+     * Runs a task if the caller closes its connection before the reply was sent; to be called while
+     * the request is being handled. The task must not block.
+     *
+     * @param task the task, not null
+     */
+    public void onDisconnect(Runnable task) {
+        guard.onClose(task);
     }
 
     /**
