--- a/fescueloom-daemon/src/test/java/org/fescueloom/endtoend/RequestCaller.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/endtoend/RequestCaller.java
@@ -38,11 +38,17 @@
         return send(
                 request(entry, "/v1/classes/" + TestDeployment.SERVICE_CLASS + "/requests")
                         .header(Headers.REQUEST_ID, id)
-                        .header(Headers.CUSTOMER, TestDeployment.CUSTOMERS.get(entry % 2))
+                        .header(Headers.CUSTOMER, customer(id))
                         .header(Headers.IDEMPOTENT, Boolean.toString(idempotent))
                         .post(RequestBody.create(body)));
     }
 
+    /** Returns the customer of a request, the same one when it is repeated. */
+    private static String customer(String id) {
+        int count = TestDeployment.CUSTOMERS.size();
+        return TestDeployment.CUSTOMERS.get(Math.floorMod(id.hashCode(), count));
+    }
+
     Request.Builder request(int entry, String path) {
         return new Request.Builder().url("http://" + entries.get(entry % entries.size()) + path);
     }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/endtoend/SoakTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/endtoend/SoakTest.java
@@ -11,7 +11,6 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 import org.fescueloom.standins.Fault;
 import org.fescueloom.standins.FaultKind;
 import org.fescueloom.standins.Faults;
@@ -47,6 +46,7 @@
     private final Map<String, List<String>> answers = new HashMap<>();
     private final Map<String, Integer> outcomes = new TreeMap<>();
     private final Map<String, Integer> shown = new TreeMap<>();
+    private final List<String> timeline = new ArrayList<>();
     private final List<SilentRelay> relays = new ArrayList<>();
     private volatile boolean over;
 
@@ -128,20 +128,20 @@
         ManagedProcess agent = deployment.agents().get(victim);
         switch (chaos.nextInt(5)) {
             case 0 -> {
-                show("agent killed");
+                show("agent killed", victim);
                 agent.kill();
                 pause(500, 2_500);
                 deployment.restartAgent(victim);
             }
             case 1 -> {
-                show("agent paused");
+                show("agent paused", victim);
                 agent.send(Signal.STOP);
                 pause(200, 6_000);
                 agent.send(Signal.CONT);
             }
             case 2 -> {
                 FaultKind kind = UPSTREAM_FAULTS.get(chaos.nextInt(UPSTREAM_FAULTS.size()));
-                show("upstream " + kind.text());
+                show("upstream " + kind.text(), victim);
                 ManagedProcess upstream = deployment.upstreams().get(victim);
                 Fault fault = Fault.always(kind).withProbability(0.4);
                 deployment.faults(upstream, Faults.of(fault));
@@ -150,21 +150,22 @@
             }
             case 3 -> {
                 FaultKind kind = LOG_FAULTS.get(chaos.nextInt(LOG_FAULTS.size()));
-                show("log " + kind.text());
+                show("log " + kind.text(), victim);
                 deployment.faults(deployment.log(), Faults.of(Fault.always(kind)));
                 pause(1_000, 8_000);
                 deployment.faults(deployment.log(), Faults.NONE);
             }
             default -> {
-                show("connections silent");
+                show("connections silent", victim);
                 relays.get(victim).silence();
             }
         }
         pause(200, 2_000);
     }
 
-    private void show(String fault) {
+    private void show(String fault, int victim) {
         shown.merge(fault, 1, Integer::sum);
+        timeline.add(System.currentTimeMillis() + " " + fault + " " + victim);
     }
 
     private void pause(int least, int most) throws InterruptedException {
@@ -172,15 +173,17 @@
     }
 
     private synchronized void check(LocalDeployment deployment) {
-        Map<String, Long> runs = new HashMap<>();
-        IntStream.range(0, UPSTREAMS)
-                .mapToObj(deployment::records)
-                .flatMap(r -> r.runs().stream())
-                .map(UpstreamRun::requestId)
-                .forEach(id -> runs.merge(id, 1L, Long::sum));
+        Map<String, List<String>> runs = new HashMap<>();
+        for (int i = 0; i < UPSTREAMS; i++) {
+            for (UpstreamRun run : deployment.records(i).runs()) {
+                String text = "u" + i + " " + run.attemptId() + " at " + run.startMillis();
+                runs.computeIfAbsent(run.requestId(), k -> new ArrayList<>()).add(text);
+            }
+        }
         List<String> doubled =
                 runs.keySet().stream()
-                        .filter(id -> id.startsWith("once-") && runs.get(id) > 1L)
+                        .filter(id -> id.startsWith("once-") && runs.get(id).size() > 1)
+                        .map(id -> id + " " + answers.get(id) + " runs " + runs.get(id))
                         .toList();
         List<String> falselyNotRun =
                 answers.keySet().stream()
@@ -189,26 +192,30 @@
                         .toList();
         List<String> invented =
                 answers.keySet().stream()
-                        .filter(id -> last(id).equals("200 own") && !runs.containsKey(id))
+                        .filter(id -> last(id).startsWith("200") && !runs.containsKey(id))
                         .toList();
         System.out.println("faults shown " + shown);
-        System.out.println("requests " + answers.size() + ", runs " + runs.size());
+        System.out.println("requests " + answers.size() + ", with runs " + runs.size());
         outcomes.forEach((outcome, count) -> System.out.println(count + " x " + outcome));
-        System.out.println("double runs " + doubled.size() + " " + first(doubled));
-        System.out.println("false not run " + falselyNotRun.size() + " " + first(falselyNotRun));
-        System.out.println("answers without a run " + invented.size());
+        print("double runs", doubled);
+        print("false not run", falselyNotRun);
+        print("answers without a run", invented);
+        if (!doubled.isEmpty() || !falselyNotRun.isEmpty()) {
+            timeline.forEach(System.out::println);
+        }
         assertThat(doubled).isEmpty();
         assertThat(falselyNotRun).isEmpty();
         assertThat(invented).isEmpty();
         assertThat(outcomes).doesNotContainKey("200 foreign").containsKey("200 own");
     }
 
+    private static void print(String what, List<String> all) {
+        System.out.println(what + " " + all.size());
+        all.stream().limit(10).forEach(System.out::println);
+    }
+
     private String last(String id) {
         List<String> all = answers.get(id);
         return all.get(all.size() - 1);
     }
-
-    private static List<String> first(List<String> all) {
-        return all.stream().limit(10).toList();
-    }
 }
