Bound the search for longer gangs to stop in a round

Change: at most 16 jobs, the shortest first, look for longer gangs; free capacity is tried once where no reservation bears on the job. PlanningRoundTest covers preemption, reservation, moves, probation and broken guarantees one by one. Conclusion: the tests of placement pass.

--- a/fescueloom-core/src/main/java/org/fescueloom/placement/PlanningRound.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/PlanningRound.java
@@ -21,6 +21,7 @@
 final class PlanningRound {
     private static final int MAX_RESERVATIONS = 1;
     private static final int MAX_EVICTIONS_TRIED = 16;
+    private static final int MAX_SHORTER_TRIES = 16;
     private static final int LONGER_FACTOR = 3;
     private static final int LEAST_GAIN = 2;
     private static final int MAX_SECOND_TRIES = 3;
@@ -43,6 +44,7 @@
     private final PlanDraft draft = new PlanDraft();
     private final Map<GangShape, Boolean> heldByOpenWorkers = new HashMap<>();
     private final List<WaitingJob> undone = new ArrayList<>();
+    private int shorterTries;
 
     /**
      * Prepares a round.
@@ -141,9 +143,10 @@
     }
 
     private boolean place(WaitingJob job) {
-        return claimFree(job, openTo(job))
-                || borrowFree(job)
-                || claimFree(job, free)
+        Capacity open = openTo(job);
+        return claimFree(job, open)
+                || borrow(job, open)
+                || open != free && claimFree(job, free)
                 || claimByEviction(job)
                 || evictForUrgent(job)
                 || evictLonger(job);
@@ -204,9 +207,8 @@
         return claims.isPresent();
     }
 
-    private boolean borrowFree(WaitingJob job) {
-        Optional<List<TaskPlacement>> members =
-                fitter.fit(openTo(job), job.spec(), job.avoidedWorkers());
+    private boolean borrow(WaitingJob job, Capacity open) {
+        Optional<List<TaskPlacement>> members = fitter.fit(open, job.spec(), job.avoidedWorkers());
         members.ifPresent(m -> start(job, m, List.of()));
         return members.isPresent();
     }
@@ -262,9 +264,10 @@
 
     /** Stops longer borrowers, with a checkpoint, where that shortens the mean completion time. */
     private boolean evictLonger(WaitingJob job) {
-        if (!policy.has(Feature.COMPACTION)) {
+        if (!policy.has(Feature.COMPACTION) || shorterTries >= MAX_SHORTER_TRIES) {
             return false;
         }
+        shorterTries++;
         long expected = queue.expectedMillis(job);
         long saved = expectedWaitMillis(job);
         Predicate<RunningGang> longer =
