--- a/fescueloom-core/src/main/java/org/fescueloom/placement/LayoutSearch.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/LayoutSearch.java
@@ -88,11 +88,13 @@
 
     private int fullestDomain(LayoutItem item) {
         int[] sums = leftInDomain[item.adjacency().ordinal()];
+        if (item.domain() != LayoutItem.ANYWHERE) {
+            return sums[item.domain()] >= item.accelerators() ? item.domain() : -1;
+        }
         int best = -1;
         int bestLeft = Integer.MAX_VALUE;
         for (int domain = 0; domain < sums.length; domain++) {
-            boolean fits = sums[domain] >= item.accelerators() && item.mayLieIn(domain);
-            if (fits && sums[domain] < bestLeft) {
+            if (sums[domain] >= item.accelerators() && sums[domain] < bestLeft) {
                 bestLeft = sums[domain];
                 best = domain;
             }
--- a/fescueloom-core/src/main/java/org/fescueloom/placement/RunningGang.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/placement/RunningGang.java
@@ -12,6 +12,7 @@
     private static final long URGENT_FACTOR = 1_000L;
 
     private final Allocation allocation;
+    private final int accelerators;
     private final boolean claimed;
     private final boolean fresh;
     private boolean gone;
@@ -25,6 +26,7 @@
      */
     RunningGang(Allocation allocation, boolean claimed, boolean fresh) {
         this.allocation = allocation;
+        this.accelerators = allocation.accelerators();
         this.claimed = claimed;
         this.fresh = fresh;
     }
@@ -81,7 +83,7 @@
         }
         boolean saves = allocation.spec().checkpointable();
         long lost = saves ? 0L : Math.max(0L, nowMillis - allocation.startedAtMillis());
-        long weight = Math.max(1, allocation.accelerators());
+        long weight = Math.max(1, accelerators);
         long urgency = allocation.spec().urgent() ? URGENT_FACTOR : 1L;
         return weight * (lost + RESTART_MILLIS) * urgency;
     }
