Drive the start of a gang by the gang chart

Cause: the walk over all interleavings proved GangRun, but the daemon started gangs by a chain of futures of its own; the proof was of other code. Ruled out: proving the chain instead (its steps are not states). Change: GangStart tells GangRun what the workers answer and does what it decides; GangStarter keeps the checks before and between the steps. A start that the log records too late starts nothing. Conclusion: the daemon and the exhaustive walk run the same decisions.

--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStart.java
@@ -0,0 +1,272 @@
+package org.fescueloom.daemon.jobs;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.fescueloom.daemon.cluster.Clocks;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.gang.GangAction;
+import org.fescueloom.gang.GangRun;
+import org.fescueloom.gang.GangState;
+import org.fescueloom.gang.GangStep;
+import org.fescueloom.gang.LeaseTerms;
+import org.fescueloom.gang.MemberEvent;
+import org.fescueloom.job.GangMember;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.JobSpec;
+import org.fescueloom.wire.LeaseRequest;
+import org.fescueloom.wire.TaskRequest;
+import org.fescueloom.wire.WorkerReport;
+
+/**
+ * Carries out the start of one gang attempt: calls workers, tells {@link GangRun} what they answer,
+ * and does what it decides.
+ */
+final class GangStart {
+    private static final LeaseTerms TERMS = LeaseTerms.DEFAULT;
+    private static final int START_TRIES = 3;
+
+    private final CompletableFuture<Void> result = new CompletableFuture<>();
+    private final GangPlaced gang;
+    private final JobSpec spec;
+    private final WorkerClient workers;
+    private final GangStopper stopper;
+    private final Function<GangPlaced, CompletableFuture<Void>> recorder;
+    private GangRun run;
+    private SchedulerException reason;
+
+    /**
+     * Prepares a start.
+     *
+     * @param gang the placement
+     * @param spec what the caller submitted
+     * @param workers calls the workers
+     * @param stopper returns the leases of a gang that cannot start
+     * @param recorder records the placement and passes if tasks may start then
+     */
+    GangStart(
+            GangPlaced gang,
+            JobSpec spec,
+            WorkerClient workers,
+            GangStopper stopper,
+            Function<GangPlaced, CompletableFuture<Void>> recorder) {
+        this.gang = gang;
+        this.spec = spec;
+        this.workers = workers;
+        this.stopper = stopper;
+        this.recorder = recorder;
+        this.run = GangRun.begin(gang.members().size(), Clocks.monotonicMillis(), TERMS);
+    }
+
+    /**
+     * Asks for all leases, and goes on by what the workers answer.
+     *
+     * @return a future that ends when every task runs under a full lease; it fails with a typed
+     *     reason after all leases were told to go
+     */
+    CompletableFuture<Void> begin() {
+        Executor later =
+                CompletableFuture.delayedExecutor(TERMS.startBoundMillis(), TimeUnit.MILLISECONDS);
+        later.execute(() -> apply(run().tick(Clocks.monotonicMillis(), TERMS), tooLate()));
+        for (int i = 0; i < gang.members().size(); i++) {
+            int member = i;
+            grant(gang.members().get(i))
+                    .whenComplete((granted, error) -> tell(member, leased(error), error));
+        }
+        return result;
+    }
+
+    private CompletableFuture<Void> grant(GangMember member) {
+        LeaseRequest request =
+                new LeaseRequest(
+                        gang.epoch(),
+                        gang.job(),
+                        gang.attempt(),
+                        member.accelerators(),
+                        spec.cpus(),
+                        spec.memoryMb(),
+                        GangStarter.START_LEASE.toMillis());
+        return workers.grant(member.address(), member.lease(), request);
+    }
+
+    private synchronized GangRun run() {
+        return run;
+    }
+
+    private void tell(int member, MemberEvent event, Throwable error) {
+        SchedulerException failure = error == null ? null : Futures.failure(error);
+        GangStep step;
+        synchronized (this) {
+            step = run.on(member, event, Clocks.monotonicMillis(), TERMS);
+            run = step.run();
+        }
+        act(step, failure);
+    }
+
+    private void apply(GangStep step, SchedulerException failure) {
+        synchronized (this) {
+            run = step.run();
+        }
+        act(step, failure);
+    }
+
+    private void act(GangStep step, SchedulerException failure) {
+        step.action().ifPresent(action -> act(action, failure));
+    }
+
+    private void act(GangAction action, SchedulerException failure) {
+        switch (action) {
+            case START_TASKS -> recordAndStart();
+            case CONFIRM -> confirm();
+            default -> giveUp(failure);
+        }
+    }
+
+    private void recordAndStart() {
+        recorder.apply(gang)
+                .whenComplete(
+                        (recorded, error) -> {
+                            if (error == null) {
+                                startTasks();
+                            } else {
+                                stop(Futures.failure(error));
+                            }
+                        });
+    }
+
+    private void startTasks() {
+        if (run().state() != GangState.STARTING) {
+            return;
+        }
+        Map<String, List<Integer>> byAddress =
+                IntStream.range(0, gang.members().size())
+                        .boxed()
+                        .collect(
+                                Collectors.groupingBy(
+                                        i -> gang.members().get(i).address(),
+                                        LinkedHashMap::new,
+                                        Collectors.toList()));
+        byAddress.forEach(this::startOnWorker);
+    }
+
+    /** Starts the tasks of one worker and asks it, for an answer does not prove that they run. */
+    private void startOnWorker(String address, List<Integer> members) {
+        TaskRequest request =
+                new TaskRequest(spec.command(), spec.runSeconds() * 1_000L, gang.resumeMillis());
+        List<CompletableFuture<Void>> starts = new ArrayList<>();
+        members.forEach(i -> starts.add(startTask(gang.members().get(i), request, START_TRIES)));
+        Futures.all(starts)
+                .thenCompose(answered -> workers.report(address))
+                .whenComplete((report, error) -> members.forEach(i -> told(i, report, error)));
+    }
+
+    private void told(int member, WorkerReport report, Throwable error) {
+        if (error != null) {
+            tell(member, MemberEvent.LOST, error);
+        } else if (runs(gang.members().get(member), report)) {
+            tell(member, MemberEvent.RUNNING, null);
+        } else {
+            tell(member, MemberEvent.LOST, doesNotRun(gang.members().get(member)));
+        }
+    }
+
+    private CompletableFuture<Void> startTask(GangMember member, TaskRequest request, int tries) {
+        return workers.startTask(member.address(), member.lease(), member.task(), request)
+                .handle((done, error) -> error)
+                .thenCompose(error -> retryStart(member, request, tries - 1, error));
+    }
+
+    private CompletableFuture<Void> retryStart(
+            GangMember member, TaskRequest request, int triesLeft, Throwable error) {
+        if (error == null) {
+            return CompletableFuture.completedFuture(null);
+        }
+        boolean answerLost = Futures.failure(error).type() == FailureType.WORKER_UNREACHABLE;
+        if (answerLost && triesLeft > 0) {
+            return startTask(member, request, triesLeft);
+        }
+        return CompletableFuture.failedFuture(error);
+    }
+
+    private void confirm() {
+        Map<String, List<String>> leases = new LinkedHashMap<>();
+        for (GangMember member : gang.members()) {
+            leases.computeIfAbsent(member.address(), a -> new ArrayList<>()).add(member.lease());
+        }
+        List<CompletableFuture<Void>> renewals = new ArrayList<>();
+        leases.forEach((address, held) -> renewals.add(renewWorker(address, held)));
+        Futures.all(renewals)
+                .whenComplete(
+                        (renewed, error) -> {
+                            if (error == null) {
+                                result.complete(null);
+                            } else {
+                                giveUp(Futures.failure(error));
+                            }
+                        });
+    }
+
+    private CompletableFuture<Void> renewWorker(String address, List<String> leases) {
+        return workers.renew(address, leases, GangStarter.RUN_LEASE)
+                .thenAccept(
+                        renewal -> {
+                            if (!renewal.unknown().isEmpty()) {
+                                throw new SchedulerException(
+                                        FailureType.GANG_START_INCOMPLETE,
+                                        "worker at " + address + " lost a lease during the start");
+                            }
+                        });
+    }
+
+    private void stop(SchedulerException failure) {
+        apply(run().stop(Clocks.monotonicMillis(), TERMS), failure);
+    }
+
+    /** Returns all leases and reports the first reason; further reasons are passed over. */
+    private void giveUp(SchedulerException failure) {
+        synchronized (this) {
+            if (reason != null) {
+                return;
+            }
+            reason = failure == null ? tooLate() : failure;
+        }
+        stopper.release(gang)
+                .whenComplete((released, error) -> result.completeExceptionally(reason));
+    }
+
+    private static MemberEvent leased(Throwable error) {
+        if (error == null) {
+            return MemberEvent.LEASED;
+        }
+        return Futures.failure(error).type() == FailureType.WORKER_UNREACHABLE
+                ? MemberEvent.LOST
+                : MemberEvent.REFUSED;
+    }
+
+    private static boolean runs(GangMember member, WorkerReport report) {
+        return report.leases().stream()
+                .filter(lease -> lease.lease().equals(member.lease()))
+                .flatMap(lease -> lease.tasks().stream())
+                .anyMatch(task -> task.task().equals(member.task()));
+    }
+
+    private static SchedulerException doesNotRun(GangMember member) {
+        return new SchedulerException(
+                FailureType.GANG_START_INCOMPLETE,
+                "task " + member.task() + " does not run on worker " + member.worker());
+    }
+
+    private static SchedulerException tooLate() {
+        return new SchedulerException(
+                FailureType.GANG_START_INCOMPLETE,
+                "not every member ran within " + TERMS.startBoundMillis() + " ms");
+    }
+}
