Let a moved gang pause before it is placed again

Cause: a gang that is moved to close a gap was free to take its old place in the next round, before the job that it was moved for. Ruled out: a backoff in the memory of the planner (lost with it); the end of the attempt is in the log. Change: PlanInputBuilder holds a moved gang back for 5 s; tests for that and for gangs that are being started. Conclusion: the daemon now does what the policy assumes.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlanInputBuilder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlanInputBuilder.java
@@ -8,8 +8,11 @@
 import org.fescueloom.config.ConfigurationDocument;
 import org.fescueloom.config.ZoneState;
 import org.fescueloom.job.FailureLedger;
+import org.fescueloom.job.GangAttempt;
+import org.fescueloom.job.GangEnded;
 import org.fescueloom.job.GangMember;
 import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.GangResult;
 import org.fescueloom.job.Job;
 import org.fescueloom.job.JobBook;
 import org.fescueloom.job.JobState;
@@ -27,6 +30,9 @@
 
 /** Builds what one planning round depends on from the job book, the members and the settings. */
 public final class PlanInputBuilder {
+    /** The time for which a moved gang is not placed again, in milliseconds. */
+    static final long MOVE_PAUSE_MILLIS = 5_000L;
+
     private final RunTimeEstimates estimates;
 
     /**
@@ -166,13 +172,24 @@
     }
 
     private static WaitingJob waiting(Job job, StartBackoff backoff) {
-        Set<String> avoided = job.failedWorkers();
+        long notBefore = backoff == null ? 0L : backoff.notBeforeMillis();
         return new WaitingJob(
                 job.id(),
                 job.spec(),
                 job.acceptedAtMillis(),
-                backoff == null ? 0L : backoff.notBeforeMillis(),
+                Math.max(notBefore, endOfPauseMillis(job)),
                 job.declaredRemainingMillis(),
-                avoided);
+                job.failedWorkers());
+    }
+
+    /** A moved gang leaves its place to the job that it was moved for. */
+    private static long endOfPauseMillis(Job job) {
+        List<GangAttempt> attempts = job.attempts();
+        if (attempts.isEmpty()) {
+            return 0L;
+        }
+        GangEnded end = attempts.get(attempts.size() - 1).ended();
+        boolean moved = end != null && end.result() == GangResult.MOVED;
+        return moved ? end.endedAtMillis() + MOVE_PAUSE_MILLIS : 0L;
     }
 }
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/PlanInputBuilderTest.java
@@ -0,0 +1,72 @@
+package org.fescueloom.daemon.jobs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fescueloom.config.ConfigurationDocument;
+import org.fescueloom.job.GangEnded;
+import org.fescueloom.job.GangPlaced;
+import org.fescueloom.job.GangResult;
+import org.fescueloom.job.JobAccepted;
+import org.fescueloom.job.JobBook;
+import org.fescueloom.job.JobRecord;
+import org.fescueloom.job.JobRecords;
+import org.fescueloom.log.LogRecord;
+import org.fescueloom.placement.PlanInput;
+import org.fescueloom.placement.RunTimeEstimates;
+import org.junit.jupiter.api.Test;
+
+class PlanInputBuilderTest {
+    private final JobBook book = new JobBook();
+    private long offset;
+
+    private void apply(JobRecord record) {
+        book.apply(new LogRecord(offset, 0, "r" + offset, JobRecords.write(record)));
+        offset++;
+    }
+
+    private PlanInput input(Map<String, GangPlaced> starting) {
+        return new PlanInputBuilder(new RunTimeEstimates())
+                .build(
+                        book,
+                        List.of(),
+                        ConfigurationDocument.EMPTY,
+                        Map.of(),
+                        starting,
+                        Set.of(),
+                        1_000);
+    }
+
+    private static GangPlaced placed() {
+        return new GangPlaced("j", "j.1", 1, List.of(), null, 1, 1, 0, 100);
+    }
+
+    private void end(GangResult result) {
+        apply(new JobAccepted("j", JobTestBed.spec(1, 1, 1), 5));
+        apply(placed());
+        apply(new GangEnded("j", "j.1", 1, result, "why", null, 0, 700));
+    }
+
+    @Test
+    void movedGangPausesBeforeItIsPlacedAgain() {
+        end(GangResult.MOVED);
+        assertThat(input(Map.of()).waiting().get(0).notBeforeMillis())
+                .isEqualTo(700 + PlanInputBuilder.MOVE_PAUSE_MILLIS);
+    }
+
+    @Test
+    void preemptedGangMayBePlacedAtOnce() {
+        end(GangResult.PREEMPTED);
+        assertThat(input(Map.of()).waiting().get(0).notBeforeMillis()).isZero();
+    }
+
+    @Test
+    void gangThatIsBeingStartedHoldsItsPlace() {
+        apply(new JobAccepted("j", JobTestBed.spec(1, 1, 1), 5));
+        PlanInput input = input(Map.of("j", placed()));
+        assertThat(input.waiting()).isEmpty();
+        assertThat(input.cluster().allocations()).hasSize(1);
+    }
+}
