--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/request/ClaimRestartTest.java
@@ -0,0 +1,35 @@
+package org.fescueloom.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.fescueloom.wire.RequestClaim;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ClaimRestartTest {
+    private static final long RETENTION_NANOS = 300_000_000_000L;
+
+    private static ClaimRegistry registry() {
+        return new ClaimRegistry(RETENTION_NANOS, 10);
+    }
+
+    private static RequestClaim claim(String run) {
+        return new RequestClaim("r", run, "digest", run + ".1", "u", "127.0.0.1:1", 1L, null);
+    }
+
+    @Nested
+    class HolderThatRestarted {
+        @Test
+        void doesNotLetASecondRunThrough() {
+            ClaimRegistry restarting = registry();
+            ClaimRegistry steady = registry();
+            ClaimRegistry pausedAtFirst = registry();
+            assertThat(restarting.claim(claim("first"), 0L).granted()).isTrue();
+            assertThat(steady.claim(claim("first"), 0L).granted()).isTrue();
+            ClaimTally second = new ClaimTally(3);
+            second.count(registry().claim(claim("second"), 1L));
+            second.count(pausedAtFirst.claim(claim("second"), 1L));
+            assertThat(second.verdict()).isNotEqualTo(ClaimTally.Verdict.CLAIMED);
+        }
+    }
+}
