--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AttemptScheduler.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AttemptScheduler.java
@@ -32,7 +32,7 @@
 final class AttemptScheduler {
     private static final AdmissionLimits LIMITS = new AdmissionLimits(512, 256, 16L << 20);
     private static final long RETENTION_NANOS = 60_000_000_000L;
-    private static final long MAX_ANSWER_BYTES = 16L << 20;
+    private static final long MAX_ANSWER_BYTES = 12L << 20;
     private static final int MAX_FINISHED = 20_000;
 
     private final LongSupplier nanoTime;
@@ -84,6 +84,11 @@
         return link.register(registration, nanoTime.getAsLong());
     }
 
+    /** Counts the upstream as absent until it registers again. */
+    synchronized void upstreamGone() {
+        link.clear();
+    }
+
     /**
      * Takes in an attempt.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Outcome;
@@ -32,10 +33,13 @@
     private static final int MAX_SILENT_QUESTIONS = 2;
     private static final long LATE_GRACE_NANOS = 30_000_000_000L;
     private static final long SHORTEST_PROBE_NANOS = 100_000_000L;
-    private static final long LONGEST_PROBE_NANOS = 1_000_000_000L;
+    private static final long LONGEST_FIRST_PROBE_NANOS = 500_000_000L;
+    private static final long LONGEST_PROBE_NANOS = 2_000_000_000L;
+    private static final int MAX_DOUBTS = 4;
+    private static final long DOUBT_PAUSE_NANOS = 500_000_000L;
     private static final long PROBE_PAUSE_NANOS = 100_000_000L;
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
-    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
 
     private final RequestInput input;
     private final RequestContext context;
@@ -50,6 +54,7 @@
     private SchedulerException lastFailure;
     private AttemptAnswer answer;
     private String servedBy;
+    private boolean nowhereElse;
 
     /**
      * Creates a run that has not started.
@@ -72,7 +77,9 @@
         private AttemptClient.Sent sent;
         private long probeNanos;
         private int silent;
+        private int doubts;
         private boolean over;
+        private ScheduledFuture<?> probe;
 
         private Attempt(AttemptId id, UpstreamPool.Chosen chosen) {
             this.id = id;
@@ -149,6 +156,7 @@
     private boolean chooseAttempt() {
         Optional<UpstreamPool.Chosen> chosen = context.pool().choose(tried);
         if (chosen.isEmpty()) {
+            nowhereElse = true;
             if (lastFailure == null) {
                 lastFailure = failure(FailureType.NO_UPSTREAM, "no upstream takes work now");
             }
@@ -253,7 +261,7 @@
         attempt.sent = context.client().send(attempt.id, input, attempt.agent(), left, timeout);
         attempt.sent.report().thenAccept(report -> step(() -> onReport(attempt, report)));
         attempt.probeNanos = firstProbeNanos(attempt);
-        later(attempt.probeNanos, () -> probe(attempt));
+        probeLater(attempt, attempt.probeNanos);
         return Optional.empty();
     }
 
@@ -275,8 +283,8 @@
         switch (report.kind()) {
             case RUNNING -> {
                 attempt.silent = 0;
-                attempt.probeNanos = Math.min(2 * attempt.probeNanos, 2 * LONGEST_PROBE_NANOS);
-                later(attempt.probeNanos, () -> probe(attempt));
+                attempt.probeNanos = Math.min(2 * attempt.probeNanos, LONGEST_PROBE_NANOS);
+                probeLater(attempt, attempt.probeNanos);
                 return Optional.empty();
             }
             case LOST, REFUSED -> {
@@ -284,10 +292,14 @@
                 if (attempt.silent >= MAX_SILENT_QUESTIONS) {
                     return lost(attempt, report.failure().getMessage());
                 }
-                later(PROBE_PAUSE_NANOS, () -> probe(attempt));
+                probeLater(attempt, PROBE_PAUSE_NANOS);
                 return Optional.empty();
             }
             default -> {
+                if (isForgotten(report) && ++attempt.doubts < MAX_DOUBTS) {
+                    probeLater(attempt, DOUBT_PAUSE_NANOS);
+                    return Optional.empty();
+                }
                 context.metrics().count("connections.silent");
                 retire(attempt, "the connection is silent, the agent answers on a fresh one");
                 return onReport(attempt, report);
@@ -295,6 +307,12 @@
         }
     }
 
+    /** Tells whether the agent has let go of the answer, which may still be on its way. */
+    private static boolean isForgotten(AttemptReport report) {
+        return report.kind() == AttemptReport.Kind.FAILED
+                && report.failure().type().outcome() == Outcome.UNKNOWN;
+    }
+
     private Optional<RequestAction> lost(Attempt attempt, String detail) {
         context.metrics().count("connections.lost");
         retire(attempt, detail);
@@ -351,6 +369,9 @@
                         && failure.type() != FailureType.UPSTREAM_UNREACHABLE;
         end(attempt, healthy ? AttemptResult.REFUSED : AttemptResult.FAILURE);
         lastFailure = failure;
+        if (failure.type() == FailureType.ATTEMPT_CANCELLED) {
+            tried.remove(attempt.chosen.upstream());
+        }
         note(
                 RequestStepKind.ATTEMPT_FAILED,
                 attempt,
@@ -389,8 +410,8 @@
         boolean possible =
                 progress.attempts() < MAX_ATTEMPTS
                         && System.nanoTime() < input.deadlineNanos()
-                        && reason != FailureType.NO_UPSTREAM;
-        boolean allowed = possible && (isChangeOfMembers(reason) || context.pool().trySpendRetry());
+                        && !nowhereElse;
+        boolean allowed = possible && (isFreeOfCharge(reason) || context.pool().trySpendRetry());
         if (allowed) {
             context.metrics().countRetry(reason);
             trail.add(RequestStepKind.RETRY, "because of " + reason.text());
@@ -400,9 +421,16 @@
         return progress.retryDecided(allowed);
     }
 
-    private static boolean isChangeOfMembers(FailureType reason) {
+    /** Tells whether a retry costs no upstream any work, because the attempt went astray. */
+    private static boolean isFreeOfCharge(FailureType reason) {
         return switch (reason) {
-            case UPSTREAM_LEAVING, SHUTTING_DOWN, INCARNATION_MISMATCH, ZONE_OUT -> true;
+            case ATTEMPT_CANCELLED,
+                    NO_UPSTREAM,
+                    UPSTREAM_LEAVING,
+                    SHUTTING_DOWN,
+                    INCARNATION_MISMATCH,
+                    ZONE_OUT ->
+                    true;
             default -> false;
         };
     }
@@ -413,6 +441,9 @@
 
     private void end(Attempt attempt, AttemptResult attemptResult) {
         attempt.over = true;
+        if (attempt.probe != null) {
+            attempt.probe.cancel(false);
+        }
         context.pool().recordEnd(attempt.chosen.upstream(), attemptResult);
     }
 
@@ -465,10 +496,10 @@
 
     private static long firstProbeNanos(Attempt attempt) {
         long nanos = Math.max(SHORTEST_PROBE_NANOS, 2 * attempt.chosen.expectedNanos());
-        return Math.min(LONGEST_PROBE_NANOS, nanos);
+        return Math.min(LONGEST_FIRST_PROBE_NANOS, nanos);
     }
 
-    private void later(long nanos, Runnable task) {
-        context.timer().schedule(task, nanos, TimeUnit.NANOSECONDS);
+    private void probeLater(Attempt attempt, long nanos) {
+        attempt.probe = context.timer().schedule(() -> probe(attempt), nanos, TimeUnit.NANOSECONDS);
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -3,10 +3,8 @@
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
-import io.jooby.Server;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
-import io.jooby.netty.NettyServer;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -30,11 +28,10 @@
     /** The bytes of request bodies in progress; callers beyond it are refused. */
     private static final long BODY_BUDGET_BYTES = 12L << 20;
 
-    private final BodyBudget budget;
-    private final int maxBodyBytes;
     private final Jooby app = new Jooby();
     private final ServerOptions options = new ServerOptions();
-    private Server server;
+    private final GuardedNettyServer server;
+    private boolean started;
 
     /**
      * Creates a server that does not listen yet.
@@ -46,23 +43,33 @@
      * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
      */
     public HttpServer(String host, int port, int maxBodyBytes) {
+        this(host, port, maxBodyBytes, ServerLimits.DEFAULT);
+    }
+
+    /**
+     * Creates a server with given limits that does not listen yet.
+     *
+     * @param host the IP number to listen on, not null
+     * @param port the port to listen on; 0 for any free one
+     * @param maxBodyBytes the longest request body that is accepted, in bytes
+     * @param limits bounds what the connections may take, not null
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
+     */
+    public HttpServer(String host, int port, int maxBodyBytes, ServerLimits limits) {
         if (maxBodyBytes <= 0) {
             throw new IllegalArgumentException("maxBodyBytes is not positive: " + maxBodyBytes);
         }
         System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false");
         System.setProperty(NO_NATIVE_PROPERTY, "true");
-        this.maxBodyBytes = maxBodyBytes;
-        budget = new BodyBudget(Math.max(BODY_BUDGET_BYTES, maxBodyBytes));
+        BodyBudget budget = new BodyBudget(Math.max(BODY_BUDGET_BYTES, maxBodyBytes));
         options.setHost(Objects.requireNonNull(host, "host"));
-        options.setPort(port);
         options.setIoThreads(IO_THREADS);
         options.setWorkerThreads(WORKER_THREADS);
         options.setMaxRequestSize(maxBodyBytes);
-        options.setBufferSize(maxBodyBytes + 1);
-        options.setExpectContinue(true);
         options.setDefaultHeaders(false);
         app.setExecutionMode(ExecutionMode.EVENT_LOOP);
         app.error(HttpServer::sendError);
+        server = new GuardedNettyServer(new ServerLoad(limits), budget, port);
     }
 
     /**
@@ -79,9 +86,8 @@
 
     /** Starts to listen. */
     public void start() {
-        NettyServer netty = new NettyServer().setOptions(options);
-        server = netty.start(app);
-        ConnectionHandlers.install(netty, () -> new BodyBudgetHandler(budget, maxBodyBytes));
+        server.setOptions(options).start(app);
+        started = true;
     }
 
     /**
@@ -90,13 +96,13 @@
      * @return the port
      */
     public int port() {
-        return options.getPort();
+        return server.port();
     }
 
     /** Stops listening and closes all connections; does nothing before the start. */
     @Override
     public void close() {
-        if (server != null) {
+        if (started) {
             server.stop();
         }
     }
@@ -109,11 +115,7 @@
         } catch (RuntimeException e) {
             reply = CompletableFuture.failedFuture(e);
         }
-        if (reply.isDone()) {
-            reply.whenComplete((value, error) -> send(context, value, error));
-        } else {
-            reply.whenComplete((value, error) -> sendLater(context, value, error));
-        }
+        reply.whenComplete((value, error) -> send(context, value, error));
         return context;
     }
 
@@ -124,15 +126,6 @@
         }
     }
 
-    /** Sends from outside the connection's event loop: the library flushes only such replies. */
-    private static void sendLater(Context context, HttpReply reply, Throwable error) {
-        if (context.isInIoThread()) {
-            context.getRouter().getWorker().execute(() -> send(context, reply, error));
-        } else {
-            send(context, reply, error);
-        }
-    }
-
     private static void send(Context context, HttpReply reply, Throwable error) {
         try {
             write(context, error == null ? reply : HttpReply.failure(asFailure(error)));
