Count grants of forgetful agents only beside one that remembers

Ruled out: vouching only after the retention of 5 minutes (requests with an identifier would be refused for minutes after a rolling restart).

Change: an agent vouches from 30 s after its start; the grants of all count only if one vouches, or while the entry itself is that young.

--- a/fescueloom-core/src/main/java/org/fescueloom/request/ClaimRegistry.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/ClaimRegistry.java
@@ -19,9 +19,12 @@
  * <p>Not safe for use by several threads at once.
  */
 public final class ClaimRegistry {
+    /** How long after its start a process does not vouch for its memory, in nanoseconds. */
+    public static final long VOUCH_DELAY_NANOS = 30_000_000_000L;
+
     private final long retentionNanos;
     private final int capacity;
-    private final long startedNanos;
+    private final long vouchesFromNanos;
     private final Map<String, Held> claims = new LinkedHashMap<>();
 
     private record Held(RequestClaim claim, long atNanos) {}
@@ -31,17 +34,17 @@
      *
      * @param retentionNanos how long a claim is remembered, in nanoseconds; positive
      * @param capacity how many claims are remembered; positive
-     * @param startedNanos the time since which claims are remembered; the registry vouches for
-     *     itself once the retention time has passed since then
+     * @param vouchesFromNanos the time from which the registry vouches for its memory; some time
+     *     after the start of a process, since it has forgotten what came before
      * @throws IllegalArgumentException if a bound is not positive
      */
-    public ClaimRegistry(long retentionNanos, int capacity, long startedNanos) {
+    public ClaimRegistry(long retentionNanos, int capacity, long vouchesFromNanos) {
         if (retentionNanos <= 0 || capacity <= 0) {
             throw new IllegalArgumentException("the bounds of a registry must be positive");
         }
         this.retentionNanos = retentionNanos;
         this.capacity = capacity;
-        this.startedNanos = startedNanos;
+        this.vouchesFromNanos = vouchesFromNanos;
     }
 
     /**
@@ -56,7 +59,7 @@
         Objects.requireNonNull(claim, "claim");
         expire(nowNanos);
         Held held = claims.get(claim.request());
-        boolean vouches = nowNanos - startedNanos > retentionNanos;
+        boolean vouches = nowNanos - vouchesFromNanos >= 0;
         if (held != null && !mayReplace(claim, held.claim())) {
             return new ClaimReply(false, held.claim(), vouches);
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AgentService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AgentService.java
@@ -45,7 +45,10 @@
     private final long incarnation;
     private final AttemptScheduler scheduler;
     private final ClaimRegistry claims =
-            new ClaimRegistry(CLAIM_RETENTION_NANOS, MAX_CLAIMS, System.nanoTime());
+            new ClaimRegistry(
+                    CLAIM_RETENTION_NANOS,
+                    MAX_CLAIMS,
+                    System.nanoTime() + ClaimRegistry.VOUCH_DELAY_NANOS);
     private final Metrics metrics;
     private final Runnable onLeavingChange;
     private final UpstreamClient upstreamClient = new UpstreamClient(MAX_UPSTREAM_CALLS);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/ClaimClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/ClaimClient.java
@@ -12,6 +12,7 @@
 import org.fescueloom.member.Member;
 import org.fescueloom.member.MemberState;
 import org.fescueloom.member.RendezvousHash;
+import org.fescueloom.request.ClaimRegistry;
 import org.fescueloom.request.ClaimTally;
 import org.fescueloom.wire.ClaimReply;
 import org.fescueloom.wire.RequestClaim;
@@ -28,6 +29,7 @@
     private static final Duration FIRST_TIMEOUT = Duration.ofMillis(250);
     private static final Duration SECOND_TIMEOUT = Duration.ofMillis(1_000);
 
+    private final long createdNanos = System.nanoTime();
     private final Supplier<List<Member>> agents;
     private final HttpClient pooled;
     private final HttpClient fresh;
@@ -60,7 +62,7 @@
      */
     CompletableFuture<Result> claim(RequestClaim claim) {
         List<Member> holders = holders(claim.request());
-        ClaimTally tally = new ClaimTally(holders.size());
+        ClaimTally tally = new ClaimTally(holders.size(), isStarting());
         CompletableFuture<Result> result = new CompletableFuture<>();
         if (holders.isEmpty()) {
             result.complete(new Result(ClaimTally.Verdict.FAILED, null));
@@ -96,6 +98,10 @@
         fresh.close();
     }
 
+    private boolean isStarting() {
+        return System.nanoTime() - createdNanos < ClaimRegistry.VOUCH_DELAY_NANOS;
+    }
+
     private List<Member> holders(String request) {
         List<Member> staying =
                 agents.get().stream().filter(a -> a.state() != MemberState.LEAVING).toList();
