Unwrap failures and make timers in one place each

Ruled out: leaving the one-level unwrapping (a chain of two dependent futures hides a typed failure from it). Change: core Failures with a test, Timers in daemon.concurrent; JobTestBed and JobPathBenchmark use ProcessHarness, with the JVM flags of bin/fescueloomd. Conclusion: behaviour as before, but a doubly wrapped failure keeps its type.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AgentService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AgentService.java
@@ -4,18 +4,18 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.fescueloom.config.ConfigurationDocument;
 import org.fescueloom.daemon.Service;
+import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.http.HttpCall;
 import org.fescueloom.daemon.http.HttpReply;
 import org.fescueloom.daemon.http.HttpServer;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.request.AttemptAnswer;
 import org.fescueloom.request.AttemptId;
@@ -52,13 +52,7 @@
     private final Metrics metrics;
     private final Runnable onLeavingChange;
     private final UpstreamClient upstreamClient = new UpstreamClient(MAX_UPSTREAM_CALLS);
-    private final ScheduledExecutorService timer =
-            Executors.newSingleThreadScheduledExecutor(
-                    task -> {
-                        Thread thread = new Thread(task, "attempt-timer");
-                        thread.setDaemon(true);
-                        return thread;
-                    });
+    private final ScheduledExecutorService timer = Timers.singleThread("attempt-timer");
 
     /**
      * Creates the service.
@@ -258,7 +252,8 @@
 
     private void finish(
             PendingAttempt attempt, AttemptAnswer answer, Throwable error, long elapsed) {
-        SchedulerException failure = error == null ? null : asFailure(error);
+        SchedulerException failure =
+                error == null ? null : Failures.of(error, FailureType.OUTCOME_UNKNOWN);
         scheduler.finish(attempt, answer, failure, elapsed);
         attempt.releaseBody();
         if (answer == null) {
@@ -282,7 +277,9 @@
     }
 
     private HttpReply reply(AttemptAnswer answer, Throwable error) {
-        return error == null ? reply(answer) : refusal(asFailure(error));
+        return error == null
+                ? reply(answer)
+                : refusal(Failures.of(error, FailureType.OUTCOME_UNKNOWN));
     }
 
     private HttpReply reply(AttemptAnswer answer) {
@@ -323,12 +320,4 @@
     private static String stateOf(HttpReply reply) {
         return reply.headers().get(Headers.ATTEMPT_STATE);
     }
-
-    private static SchedulerException asFailure(Throwable error) {
-        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
-        return cause instanceof SchedulerException failure
-                ? failure
-                : new SchedulerException(
-                        FailureType.OUTCOME_UNKNOWN, "the attempt was lost", 0L, cause);
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/UpstreamClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/UpstreamClient.java
@@ -4,7 +4,6 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import okhttp3.MediaType;
 import okhttp3.Request;
 import okhttp3.RequestBody;
@@ -12,6 +11,7 @@
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.http.TruncatedAnswerException;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.request.AttemptAnswer;
 import org.fescueloom.wire.Headers;
@@ -84,7 +84,7 @@
     }
 
     private static AttemptAnswer fail(Throwable error) {
-        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        Throwable cause = Failures.causeOf(error);
         if (cause instanceof ConnectException) {
             throw failure(FailureType.UPSTREAM_UNREACHABLE, "connection refused", cause);
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/AppendQueue.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/AppendQueue.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.log.Backoff;
 import org.fescueloom.log.LogPage;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/Cluster.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/Cluster.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -10,6 +9,7 @@
 import org.fescueloom.config.ConfigurationView;
 import org.fescueloom.config.ZoneGate;
 import org.fescueloom.daemon.Service;
+import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.http.HttpServer;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.daemon.settings.Role;
@@ -34,8 +34,7 @@
 
     private static final long EXPIRE_MILLIS = 1_000L;
 
-    private final ScheduledExecutorService executor =
-            Executors.newSingleThreadScheduledExecutor(Cluster::thread);
+    private final ScheduledExecutorService executor = Timers.singleThread("cluster");
     private final long incarnation = System.currentTimeMillis();
     private final MemberTable members = new MemberTable();
     private final Settings settings;
@@ -329,10 +328,4 @@
                             () -> () -> members.members(kind, Clocks.monotonicMillis()).size());
         }
     }
-
-    private static Thread thread(Runnable task) {
-        Thread thread = new Thread(task, "cluster");
-        thread.setDaemon(true);
-        return thread;
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/ConfigurationPublisher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/ConfigurationPublisher.java
@@ -13,6 +13,7 @@
 import org.fescueloom.config.RecordVerdict;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.log.LogPage;
 import org.fescueloom.log.NewRecord;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/LogClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/LogClient.java
@@ -11,7 +11,6 @@
 import java.util.Objects;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -20,6 +19,7 @@
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.json.Json;
 import org.fescueloom.log.LogPage;
@@ -172,7 +172,7 @@
     }
 
     private static SchedulerException lost(Throwable error) {
-        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        Throwable cause = Failures.causeOf(error);
         if (cause instanceof ConnectException || cause instanceof NoRouteToHostException) {
             return unavailable("the log refused the connection", cause);
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/OperatorRoutes.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/OperatorRoutes.java
@@ -12,6 +12,7 @@
 import org.fescueloom.daemon.http.HttpReply;
 import org.fescueloom.daemon.http.HttpServer;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.report.VersionReport;
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/StreamFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/StreamFollower.java
@@ -13,6 +13,7 @@
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.log.Backoff;
 import org.fescueloom.log.LogPage;
 import org.fescueloom.log.LogRecord;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/ZoneChanger.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/cluster/ZoneChanger.java
@@ -11,6 +11,7 @@
 import org.fescueloom.config.Zone;
 import org.fescueloom.config.ZoneState;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.member.Member;
 import org.fescueloom.report.ZoneChangeReport;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/AttemptClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/AttemptClient.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
 import okhttp3.MediaType;
 import okhttp3.Request;
@@ -13,6 +12,7 @@
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.failure.FailureBody;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.request.AttemptAnswer;
 import org.fescueloom.request.AttemptId;
@@ -128,7 +128,7 @@
     private AttemptReport sent(
             AttemptId id, AgentTarget agent, HttpAnswer answer, Throwable error) {
         if (error != null) {
-            Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+            Throwable cause = Failures.causeOf(error);
             closeIdleIfRefused(cause);
             return cause instanceof ConnectException
                     ? AttemptReport.failed(
@@ -149,7 +149,7 @@
     private AttemptReport resolved(
             AttemptId id, AgentTarget agent, HttpAnswer answer, Throwable error) {
         if (error != null) {
-            Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+            Throwable cause = Failures.causeOf(error);
             closeIdleIfRefused(cause);
             return cause instanceof ConnectException
                     ? AttemptReport.refused("nothing listens at the address of the agent")
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -13,6 +12,7 @@
 import org.fescueloom.config.CustomerPolicy;
 import org.fescueloom.config.ZoneState;
 import org.fescueloom.daemon.Service;
+import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.http.HttpCall;
 import org.fescueloom.daemon.http.HttpReply;
 import org.fescueloom.daemon.http.HttpServer;
@@ -48,7 +48,7 @@
     private final RequestContext context;
     private final RequestJournal journal = new RequestJournal(JOURNAL_SIZE);
     private final AdmissionQueue<Waiting> queue;
-    private final ScheduledExecutorService timer = timer();
+    private final ScheduledExecutorService timer = Timers.singleThread("request-timer");
     private long runningBytes;
     private int unfinished;
     private volatile boolean leaving;
@@ -314,20 +314,6 @@
         return config.get().zone(zone).filter(z -> z.state() == ZoneState.IN).isPresent();
     }
 
-    /** Creates a timer that forgets cancelled tasks at once, with what they hold. */
-    private static ScheduledExecutorService timer() {
-        ScheduledThreadPoolExecutor timer =
-                new ScheduledThreadPoolExecutor(
-                        1,
-                        task -> {
-                            Thread thread = new Thread(task, "request-timer");
-                            thread.setDaemon(true);
-                            return thread;
-                        });
-        timer.setRemoveOnCancelPolicy(true);
-        return timer;
-    }
-
     private double guaranteedShare(String customer) {
         return config.get().customer(customer).map(CustomerPolicy::guaranteedShare).orElse(0.0);
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -7,8 +7,8 @@
 import io.jooby.StatusCode;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.tinylog.Logger;
 
@@ -158,10 +158,7 @@
     }
 
     private static SchedulerException asFailure(Throwable error) {
-        Throwable cause = error;
-        while (cause instanceof CompletionException && cause.getCause() != null) {
-            cause = cause.getCause();
-        }
+        Throwable cause = Failures.causeOf(error);
         if (cause instanceof SchedulerException failure) {
             return failure;
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/Futures.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/Futures.java
@@ -2,11 +2,8 @@
 
 import java.util.Collection;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
-import org.fescueloom.failure.FailureType;
-import org.fescueloom.failure.SchedulerException;
 
-/** Helps with futures whose failures are typed. */
+/** Combines futures. */
 final class Futures {
     private Futures() {}
 
@@ -19,22 +16,4 @@
     static CompletableFuture<Void> all(Collection<? extends CompletableFuture<?>> futures) {
         return CompletableFuture.allOf(futures.toArray(CompletableFuture[]::new));
     }
-
-    /**
-     * Returns the typed failure behind an error.
-     *
-     * @param error the error, not null
-     * @return the failure; one of type {@code INTERNAL} if the error has no type
-     */
-    static SchedulerException failure(Throwable error) {
-        Throwable cause = error;
-        while (cause instanceof CompletionException && cause.getCause() != null) {
-            cause = cause.getCause();
-        }
-        if (cause instanceof SchedulerException typed) {
-            return typed;
-        }
-        return new SchedulerException(
-                FailureType.INTERNAL, String.valueOf(cause.getMessage()), 0L, cause);
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangRunner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangRunner.java
@@ -14,6 +14,7 @@
 import java.util.function.LongSupplier;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.gang.LeaseTerms;
 import org.fescueloom.job.GangAttempt;
@@ -235,7 +236,7 @@
                 .handle(
                         (effect, error) -> {
                             if (error != null) {
-                                metrics.countRetry(Futures.failure(error).type());
+                                metrics.countRetry(Failures.of(error).type());
                             }
                             return effect == RecordEffect.APPLIED;
                         });
@@ -252,7 +253,7 @@
                     .info();
             return CompletableFuture.completedFuture(true);
         }
-        SchedulerException failure = Futures.failure(error);
+        SchedulerException failure = Failures.of(error);
         metrics.countRetry(failure.type());
         EventLog.event("gang-start-failed")
                 .field("job", gang.job())
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStart.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStart.java
@@ -12,6 +12,7 @@
 import java.util.stream.IntStream;
 import org.fescueloom.daemon.cluster.Clocks;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.gang.GangAction;
 import org.fescueloom.gang.GangRun;
@@ -102,7 +103,7 @@
     }
 
     private void tell(int member, MemberEvent event, Throwable error) {
-        SchedulerException failure = error == null ? null : Futures.failure(error);
+        SchedulerException failure = error == null ? null : Failures.of(error);
         GangStep step;
         synchronized (this) {
             step = run.on(member, event, Clocks.monotonicMillis(), TERMS);
@@ -137,7 +138,7 @@
                             if (error == null) {
                                 startTasks();
                             } else {
-                                stop(Futures.failure(error));
+                                stop(Failures.of(error));
                             }
                         });
     }
@@ -189,7 +190,7 @@
         if (error == null) {
             return CompletableFuture.completedFuture(null);
         }
-        boolean answerLost = Futures.failure(error).type() == FailureType.WORKER_UNREACHABLE;
+        boolean answerLost = Failures.of(error).type() == FailureType.WORKER_UNREACHABLE;
         if (answerLost && triesLeft > 0) {
             return startTask(member, request, triesLeft);
         }
@@ -209,7 +210,7 @@
                             if (error == null) {
                                 result.complete(null);
                             } else {
-                                giveUp(Futures.failure(error));
+                                giveUp(Failures.of(error));
                             }
                         });
     }
@@ -246,7 +247,7 @@
         if (error == null) {
             return MemberEvent.LEASED;
         }
-        return Futures.failure(error).type() == FailureType.WORKER_UNREACHABLE
+        return Failures.of(error).type() == FailureType.WORKER_UNREACHABLE
                 ? MemberEvent.LOST
                 : MemberEvent.REFUSED;
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobLog.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobLog.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fescueloom.daemon.cluster.LogClient;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.job.JobRecord;
 import org.fescueloom.job.JobRecords;
@@ -44,7 +45,7 @@
                         (offset, error) -> {
                             if (error != null) {
                                 ledger.forget(recordId);
-                                effect.completeExceptionally(Futures.failure(error));
+                                effect.completeExceptionally(Failures.of(error));
                             }
                         });
         return effect.orTimeout(FOLD_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
@@ -53,7 +54,7 @@
 
     private CompletableFuture<RecordEffect> failed(String recordId, Throwable error) {
         ledger.forget(recordId);
-        SchedulerException failure = Futures.failure(error);
+        SchedulerException failure = Failures.of(error);
         boolean timedOut = failure.type() == FailureType.INTERNAL;
         return CompletableFuture.failedFuture(
                 timedOut
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobRoutes.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobRoutes.java
@@ -13,6 +13,7 @@
 import org.fescueloom.daemon.http.HttpServer;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.job.Job;
 import org.fescueloom.job.JobAccepted;
@@ -195,7 +196,7 @@
         return reply.whenComplete(
                 (value, error) -> {
                     if (error != null) {
-                        metrics.countRefusal(Futures.failure(error).type());
+                        metrics.countRefusal(Failures.of(error).type());
                     }
                 });
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSnapshotService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobSnapshotService.java
@@ -2,11 +2,11 @@
 
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.fescueloom.daemon.Service;
+import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.job.Job;
@@ -25,8 +25,7 @@
     private static final long ROUND_MILLIS = 30_000L;
     private static final int MOST_PER_ROUND = 64;
 
-    private final ScheduledExecutorService executor =
-            Executors.newSingleThreadScheduledExecutor(JobSnapshotService::thread);
+    private final ScheduledExecutorService executor = Timers.singleThread("job-snapshots");
     private final JobLedger ledger;
     private final JobLog log;
     private final BooleanSupplier planning;
@@ -92,10 +91,4 @@
             EventLog.event("job-snapshots-failed").error(e).error();
         }
     }
-
-    private static Thread thread(Runnable task) {
-        Thread thread = new Thread(task, "job-snapshots");
-        thread.setDaemon(true);
-        return thread;
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperListFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperListFollower.java
@@ -6,11 +6,11 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.fescueloom.daemon.Service;
+import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.http.HttpAnswer;
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.metrics.Metrics;
@@ -29,8 +29,7 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
 
-    private final ScheduledExecutorService executor =
-            Executors.newSingleThreadScheduledExecutor(KeeperListFollower::thread);
+    private final ScheduledExecutorService executor = Timers.singleThread("keeper-list");
     private final HttpClient http = new HttpClient(MAX_CALLS, CONNECT_TIMEOUT);
     private final Supplier<Collection<String>> entries;
     private final Metrics metrics;
@@ -93,10 +92,4 @@
             metrics.count("keeper.list-failures");
         }
     }
-
-    private static Thread thread(Runnable task) {
-        Thread thread = new Thread(task, "keeper-list");
-        thread.setDaemon(true);
-        return thread;
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperService.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -18,6 +17,7 @@
 import java.util.stream.Collectors;
 import org.fescueloom.daemon.Service;
 import org.fescueloom.daemon.cluster.Clocks;
+import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.gang.GangKeeper;
@@ -46,8 +46,7 @@
     private static final long RENEW_BELOW_MILLIS =
             2 * (TERMS.pollMillis() + TERMS.callTimeoutMillis());
 
-    private final ScheduledExecutorService executor =
-            Executors.newSingleThreadScheduledExecutor(KeeperService::thread);
+    private final ScheduledExecutorService executor = Timers.singleThread("keeper");
     private final Map<String, GangWatch> watches = new ConcurrentHashMap<>();
     private final Set<String> stopping = ConcurrentHashMap.newKeySet();
     private final JobLedger ledger;
@@ -258,12 +257,6 @@
                 .whenComplete((recorded, error) -> stopping.remove(gang.attempt()));
     }
 
-    private static Thread thread(Runnable task) {
-        Thread thread = new Thread(task, "keeper");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     /** Remembers what earlier rounds saw of one gang. */
     private static final class GangWatch {
         private final long knownSinceMillis;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlannerService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/PlannerService.java
@@ -3,13 +3,13 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.fescueloom.daemon.Service;
 import org.fescueloom.daemon.cluster.Clocks;
 import org.fescueloom.daemon.cluster.LogClient;
+import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.job.EpochClaim;
@@ -31,8 +31,7 @@
     private static final long ROUND_MILLIS = 200L;
     private static final long DRAIN_SECONDS = 5L;
 
-    private final ScheduledExecutorService executor =
-            Executors.newSingleThreadScheduledExecutor(PlannerService::thread);
+    private final ScheduledExecutorService executor = Timers.singleThread("planner");
     private final AtomicBoolean claiming = new AtomicBoolean();
     private final JobCluster cluster;
     private final PlannerElection election;
@@ -185,10 +184,4 @@
             return false;
         }
     }
-
-    private static Thread thread(Runnable task) {
-        Thread thread = new Thread(task, "planner");
-        thread.setDaemon(true);
-        return thread;
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/WorkerClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/WorkerClient.java
@@ -5,12 +5,12 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 import okhttp3.Request;
 import org.fescueloom.daemon.http.HttpAnswer;
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.gang.LeaseTerms;
 import org.fescueloom.wire.LeaseRenewal;
@@ -150,7 +150,10 @@
         if (error != null) {
             throw new SchedulerException(
                     FailureType.WORKER_UNREACHABLE,
-                    "worker at " + address + " gave no answer: " + rootCause(error).getMessage(),
+                    "worker at "
+                            + address
+                            + " gave no answer: "
+                            + Failures.causeOf(error).getMessage(),
                     0L,
                     error);
         }
@@ -178,12 +181,4 @@
         return new SchedulerException(
                 type, "worker at " + address + " answered with status " + status);
     }
-
-    private static Throwable rootCause(Throwable error) {
-        Throwable cause = error;
-        while (cause instanceof CompletionException && cause.getCause() != null) {
-            cause = cause.getCause();
-        }
-        return cause;
-    }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/cluster/LogClientTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/cluster/LogClientTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.log.LogRecord;
 import org.fescueloom.standins.Fault;
 import org.fescueloom.standins.FaultKind;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/JobPathBenchmark.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/JobPathBenchmark.java
@@ -1,15 +1,15 @@
 package org.fescueloom.daemon.jobs;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
+import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.job.GangEnded;
 import org.fescueloom.job.GangMember;
 import org.fescueloom.job.GangPlaced;
@@ -21,6 +21,8 @@
 import org.fescueloom.job.JobSpec;
 import org.fescueloom.json.Json;
 import org.fescueloom.log.LogRecord;
+import org.fescueloom.standins.harness.ManagedProcess;
+import org.fescueloom.wire.LeaseRenewal;
 import org.fescueloom.wire.LeaseReport;
 import org.fescueloom.wire.TaskReport;
 import org.fescueloom.wire.TaskState;
@@ -32,7 +34,6 @@
 @Tag("benchmark")
 class JobPathBenchmark {
     private static final int JOBS = 11_100;
-    private static final int TICKS_PER_SECOND = 100;
     private static final long WARM_UP_MILLIS = 40_000;
 
     private static GangPlaced placed(String job, int tasks) {
@@ -125,11 +126,7 @@
 
     private static LogRecord record(int offset, JobRecord record) {
         byte[] text = Json.write(JobRecords.write(record));
-        return new LogRecord(
-                offset,
-                0,
-                "r" + offset,
-                Json.read(text, com.fasterxml.jackson.databind.JsonNode.class));
+        return new LogRecord(offset, 0, "r" + offset, Json.read(text, JsonNode.class));
     }
 
     private static long usedHeap() throws InterruptedException {
@@ -149,11 +146,7 @@
         System.out.printf("request of a report: %d bytes%n", bytesOf(report));
         for (int leases : new int[] {1, 5}) {
             List<String> names = IntStream.range(0, leases).mapToObj(i -> lease + i).toList();
-            Request renewal =
-                    request(
-                            "POST",
-                            "/v1/leases/renew",
-                            new org.fescueloom.wire.LeaseRenewal(names, 6_000));
+            Request renewal = request("POST", "/v1/leases/renew", new LeaseRenewal(names, 6_000));
             System.out.printf(
                     "request of a renewal, %d leases: %d bytes%n", leases, bytesOf(renewal));
         }
@@ -174,8 +167,7 @@
     }
 
     private static Request request(String method, String path, Object body) {
-        return org.fescueloom.daemon.http.HttpClient.request(method, "127.0.0.1:1", path, body)
-                .build();
+        return HttpClient.request(method, "127.0.0.1:1", path, body).build();
     }
 
     private static int bytesOf(Request request) throws Exception {
@@ -194,7 +186,7 @@
                                                 .newCall(local)
                                                 .execute()) {
                                     answer.code();
-                                } catch (java.io.IOException expected) {
+                                } catch (IOException expected) {
                                     // the server never answers
                                 }
                             });
@@ -238,28 +230,14 @@
 
     private static void report(JobTestBed bed, String member, int workers, String how)
             throws Exception {
-        long pid = bed.daemons.get(member).pid();
-        long before = ticks(pid);
+        ManagedProcess daemon = bed.daemons.get(member);
+        long before = daemon.cpuMillis();
         long start = System.nanoTime();
         Thread.sleep(20_000);
-        double seconds = (System.nanoTime() - start) / 1e9;
-        double share = (ticks(pid) - before) / (double) TICKS_PER_SECOND / seconds;
+        double millis = (System.nanoTime() - start) / 1e6;
+        double share = (daemon.cpuMillis() - before) / millis;
         System.out.printf(
-                "%s %s gangs on %d workers: %.2f%% of a core, %s%n",
-                member, how, workers, 100 * share, resident(pid));
-    }
-
-    private static long ticks(long pid) throws Exception {
-        String text = Files.readString(Path.of("/proc", "" + pid, "stat"), StandardCharsets.UTF_8);
-        String[] fields = text.substring(text.lastIndexOf(')') + 2).split(" ");
-        return Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
-    }
-
-    private static String resident(long pid) throws Exception {
-        return Files.readAllLines(Path.of("/proc", "" + pid, "status")).stream()
-                .filter(line -> line.startsWith("VmRSS"))
-                .findFirst()
-                .orElseThrow()
-                .replaceAll("\\s+", " ");
+                "%s %s gangs on %d workers: %.2f%% of a core, %d KiB resident%n",
+                member, how, workers, 100 * share, daemon.residentKib());
     }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/JobSystemTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/JobSystemTest.java
@@ -5,11 +5,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.fescueloom.gang.LeaseTerms;
 import org.fescueloom.standins.Fault;
 import org.fescueloom.standins.FaultKind;
 import org.fescueloom.standins.Faults;
+import org.fescueloom.standins.harness.Signal;
 import org.fescueloom.standins.worker.WorkerEvent;
+import org.fescueloom.standins.worker.WorkerStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -49,7 +52,7 @@
                 () -> bed.workers.values().stream().allMatch(this::holdsNothing));
     }
 
-    private boolean holdsNothing(org.fescueloom.standins.worker.WorkerStandIn worker) {
+    private boolean holdsNothing(WorkerStandIn worker) {
         long granted = count(worker, WorkerEvent.Kind.LEASE_GRANTED);
         long ended =
                 count(worker, WorkerEvent.Kind.LEASE_RELEASED)
@@ -57,8 +60,7 @@
         return granted <= ended;
     }
 
-    private static long count(
-            org.fescueloom.standins.worker.WorkerStandIn worker, WorkerEvent.Kind kind) {
+    private static long count(WorkerStandIn worker, WorkerEvent.Kind kind) {
         return worker.records().stream().filter(e -> e.kind() == kind).count();
     }
 
@@ -146,13 +148,13 @@
         @Test
         void pausedPlannerDoesNothingAfterAnotherTookOver() throws Exception {
             String planner = bed.planner();
-            bed.daemons.get(planner).pause();
+            bed.daemons.get(planner).send(Signal.STOP);
             String address = bed.addresses.remove(planner);
             for (int i = 0; i < 6; i++) {
                 bed.submit("job-" + i, JobTestBed.spec(2, 4, 3));
             }
             bed.awaitRunning("job-0", 2);
-            bed.daemons.get(planner).resume();
+            bed.daemons.get(planner).send(Signal.CONT);
             bed.addresses.put(planner, address);
             for (int i = 0; i < 6; i++) {
                 bed.awaitState("job-" + i, "succeeded");
@@ -162,8 +164,7 @@
 
         private void assertPartialRunsAreShort(String job) {
             Map<String, List<WorkerEvent>> byAttempt =
-                    starts(job).stream()
-                            .collect(java.util.stream.Collectors.groupingBy(WorkerEvent::attempt));
+                    starts(job).stream().collect(Collectors.groupingBy(WorkerEvent::attempt));
             for (Map.Entry<String, List<WorkerEvent>> attempt : byAttempt.entrySet()) {
                 if (attempt.getValue().size() == 6) {
                     continue;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/JobTestBed.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/jobs/JobTestBed.java
@@ -1,12 +1,16 @@
 package org.fescueloom.daemon.jobs;
 
+import java.io.IOException;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Request;
 import org.fescueloom.config.Adjacency;
@@ -14,13 +18,18 @@
 import org.fescueloom.config.CustomerPolicy;
 import org.fescueloom.config.ServiceClass;
 import org.fescueloom.config.Zone;
+import org.fescueloom.daemon.DaemonMain;
 import org.fescueloom.daemon.http.HttpAnswer;
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.settings.Role;
 import org.fescueloom.daemon.settings.Settings;
 import org.fescueloom.job.JobSpec;
+import org.fescueloom.json.Json;
 import org.fescueloom.report.JobReport;
+import org.fescueloom.report.StatusReport;
 import org.fescueloom.standins.ListenAddress;
+import org.fescueloom.standins.harness.ManagedProcess;
+import org.fescueloom.standins.harness.ProcessHarness;
 import org.fescueloom.standins.log.LogStandIn;
 import org.fescueloom.standins.worker.WorkerEvent;
 import org.fescueloom.standins.worker.WorkerIdentity;
@@ -38,8 +47,9 @@
 
     final LogStandIn log = new LogStandIn(ListenAddress.ANY, RETAIN, APPENDS_PER_SECOND);
     final Map<String, WorkerStandIn> workers = new LinkedHashMap<>();
-    final Map<String, DaemonProcess> daemons = new LinkedHashMap<>();
+    final Map<String, ManagedProcess> daemons = new LinkedHashMap<>();
     final Map<String, String> addresses = new LinkedHashMap<>();
+    private final ProcessHarness harness = new ProcessHarness(Path.of("target", "job-system"));
     private final HttpClient http = new HttpClient(16, Duration.ofSeconds(2));
     private final List<String> entrySeeds = new ArrayList<>();
 
@@ -57,9 +67,6 @@
         for (int i = 0; i < workerCount; i++) {
             worker("worker-" + i, ZONES.get(i % ZONES.size()), i);
         }
-        for (Map.Entry<String, DaemonProcess> daemon : daemons.entrySet()) {
-            addresses.put(daemon.getKey(), daemon.getValue().awaitAddress());
-        }
         publish();
         await("all workers known", () -> workersKnown() == workerCount);
     }
@@ -76,13 +83,17 @@
                         List.of(log.address()),
                         null,
                         null);
-        daemons.put(member, DaemonProcess.start(settings));
+        Path config = harness.directory().resolve(member + ".json");
+        Files.write(config, Json.write(settings));
+        List<String> options = List.of("@../bin/fescueloomd.jvm");
+        List<String> arguments = List.of("--config", config.toString());
+        daemons.put(member, harness.start(member, DaemonMain.class.getName(), options, arguments));
+        addresses.put(member, daemons.get(member).address());
     }
 
     /** Starts a fresh entry at the address of a former one, under another name. */
     void replaceEntry(String former, String member) throws Exception {
         daemon(Role.ENTRY, member, ZONES.get(0), addresses.get(former));
-        addresses.put(member, daemons.get(member).awaitAddress());
         addresses.remove(former);
         daemons.remove(former);
     }
@@ -158,12 +169,12 @@
                 if (last.status() < 500) {
                     return last;
                 }
-            } catch (java.util.concurrent.ExecutionException e) {
+            } catch (ExecutionException e) {
                 continue;
             }
         }
         if (last == null) {
-            throw new java.io.IOException("no entry answers");
+            throw new IOException("no entry answers");
         }
         return last;
     }
@@ -189,9 +200,7 @@
     }
 
     String planner() throws Exception {
-        return call("GET", "/v1/status", null)
-                .read(org.fescueloom.report.StatusReport.class)
-                .planner();
+        return call("GET", "/v1/status", null).read(StatusReport.class).planner();
     }
 
     List<WorkerEvent> events(String job, WorkerEvent.Kind kind) {
@@ -226,9 +235,7 @@
 
     @Override
     public void close() throws Exception {
-        for (DaemonProcess daemon : daemons.values()) {
-            daemon.close();
-        }
+        harness.close();
         workers.values().forEach(WorkerStandIn::close);
         log.close();
         http.close();
