Let entries vouch for agents that never restarted

Change: an entry watches the incarnations of the agents and vouches for those that it has known in one only, and for all in its own first 30 s.

Conclusion: a system is open for such requests from its first second, and a restarted agent still passes no repeat.

--- a/fescueloom-core/src/main/java/org/fescueloom/request/ClaimTally.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/ClaimTally.java
@@ -12,12 +12,10 @@
  * <p>A claim holds when more than half of them granted it and vouch for their memory, or when all
  * of them granted it and one vouches. An earlier claim is held by more than half; so even if one of
  * those has restarted since, and another agent never heard of the claim, the two cannot pass a
- * repeat. While the whole system starts nobody can vouch; then the grant of all is enough. Not safe
- * for use by several threads at once.
+ * repeat. Not safe for use by several threads at once.
  */
 public final class ClaimTally {
     private final int holders;
-    private final boolean starting;
     private final Map<RequestClaim, Integer> others = new HashMap<>();
     private int granted;
     private int vouched;
@@ -27,11 +25,9 @@
      * Creates an empty tally.
      *
      * @param holders how many agents were asked, not negative
-     * @param starting whether the whole system may just be starting
      */
-    public ClaimTally(int holders, boolean starting) {
+    public ClaimTally(int holders) {
         this.holders = holders;
-        this.starting = starting;
     }
 
     /** Names what a tally has come to. */
@@ -67,7 +63,7 @@
      * @return the verdict, never null
      */
     public Verdict verdict() {
-        boolean byAll = granted == holders && (starting || vouched > 0);
+        boolean byAll = granted == holders && vouched > 0;
         if (holders > 0 && (byAll || vouched > holders / 2)) {
             return Verdict.CLAIMED;
         }
--- a/fescueloom-core/src/test/java/org/fescueloom/request/ClaimRegistryTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/request/ClaimRegistryTest.java
@@ -38,7 +38,7 @@
         List<Message> messages = new ArrayList<>();
         List<ClaimTally> tallies = new ArrayList<>();
         for (int run = 0; run < 3; run++) {
-            tallies.add(new ClaimTally(3, false));
+            tallies.add(new ClaimTally(3));
             for (int holder = 0; holder < 3; holder++) {
                 if (random.nextInt(4) > 0) {
                     messages.add(new Message(claim("run" + run, "a" + run, null), holder));
@@ -68,8 +68,8 @@
             messages.add(new Message(claim("other", "b1", "a1"), holder));
         }
         Collections.shuffle(messages, random);
-        ClaimTally owner = new ClaimTally(3, false);
-        ClaimTally other = new ClaimTally(3, false);
+        ClaimTally owner = new ClaimTally(3);
+        ClaimTally other = new ClaimTally(3);
         for (Message m : messages) {
             ClaimReply reply = holders.get(m.holder()).claim(m.claim(), 0);
             (m.claim().run().equals("owner") ? owner : other).count(reply);
@@ -83,18 +83,9 @@
     /** Asks three agents in any order; the one at a place may be silent. */
     private static ClaimTally.Verdict ask(
             List<ClaimRegistry> holders, RequestClaim claim, int silent, Random random) {
-        return ask(holders, claim, silent, random, false);
-    }
-
-    private static ClaimTally.Verdict ask(
-            List<ClaimRegistry> holders,
-            RequestClaim claim,
-            int silent,
-            Random random,
-            boolean starting) {
         List<Integer> order = new ArrayList<>(List.of(0, 1, 2));
         Collections.shuffle(order, random);
-        ClaimTally tally = new ClaimTally(3, starting);
+        ClaimTally tally = new ClaimTally(3);
         for (int holder : order) {
             tally.count(holder == silent ? null : holders.get(holder).claim(claim, SECOND));
             if (tally.verdict() != ClaimTally.Verdict.OPEN) {
@@ -118,15 +109,6 @@
                 .isNotEqualTo(ClaimTally.Verdict.CLAIMED);
     }
 
-    @Test
-    void freshAgentsGrantTogetherWhileTheSystemStarts() {
-        List<ClaimRegistry> fresh = restarted();
-        assertThat(ask(fresh, claim("one", "a1", null), -1, new Random(1), true))
-                .isEqualTo(ClaimTally.Verdict.CLAIMED);
-        assertThat(ask(fresh, claim("two", "b1", null), -1, new Random(1), true))
-                .isEqualTo(ClaimTally.Verdict.TAKEN);
-    }
-
     @Test
     void passesNoRepeatAfterAllAgentsRestarted() {
         assertThat(ask(restarted(), claim("repeat", "b1", null), -1, new Random(1)))
--- a/fescueloom-core/src/test/java/org/fescueloom/request/ClaimRestartTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/request/ClaimRestartTest.java
@@ -31,7 +31,7 @@
             assertThat(restarting.claim(claim("first"), 0L).granted()).isTrue();
             assertThat(steady.claim(claim("first"), 0L).granted()).isTrue();
             ClaimRegistry restarted = registryThatVouchesFrom(ClaimRegistry.VOUCH_DELAY_NANOS);
-            ClaimTally second = new ClaimTally(3, false);
+            ClaimTally second = new ClaimTally(3);
             second.count(restarted.claim(claim("second"), 1L));
             second.count(pausedAtFirst.claim(claim("second"), 1L));
             assertThat(second.verdict()).isNotEqualTo(ClaimTally.Verdict.CLAIMED);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/ClaimClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/ClaimClient.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import okhttp3.Request;
 import org.fescueloom.daemon.http.HttpAnswer;
@@ -29,6 +31,7 @@
     private static final Duration FIRST_TIMEOUT = Duration.ofMillis(250);
     private static final Duration SECOND_TIMEOUT = Duration.ofMillis(1_000);
 
+    private final Map<String, Long> firstIncarnations = new ConcurrentHashMap<>();
     private final long createdNanos = System.nanoTime();
     private final Supplier<List<Member>> agents;
     private final HttpClient pooled;
@@ -61,14 +64,17 @@
      * @return a future of the result, which never fails
      */
     CompletableFuture<Result> claim(RequestClaim claim) {
+        observeAgents();
         List<Member> holders = holders(claim.request());
-        ClaimTally tally = new ClaimTally(holders.size(), isStarting());
+        ClaimTally tally = new ClaimTally(holders.size());
         CompletableFuture<Result> result = new CompletableFuture<>();
         if (holders.isEmpty()) {
             result.complete(new Result(ClaimTally.Verdict.FAILED, null));
         }
         for (Member holder : holders) {
-            ask(holder, claim).thenAccept(reply -> count(tally, reply, result));
+            boolean known = isStarting() || !hasRestarted(holder);
+            ask(holder, claim)
+                    .thenAccept(reply -> count(tally, known ? vouched(reply) : reply, result));
         }
         return result;
     }
@@ -86,6 +92,13 @@
         }
     }
 
+    /** Notes which agents are there, to notice when one restarts. */
+    void observeAgents() {
+        for (Member agent : agents.get()) {
+            firstIncarnations.putIfAbsent(agent.id(), agent.announcement().incarnation());
+        }
+    }
+
     /** Closes the connections that no call uses now. */
     void retireConnections() {
         pooled.closeIdle();
@@ -98,6 +111,16 @@
         fresh.close();
     }
 
+    private boolean hasRestarted(Member holder) {
+        return firstIncarnations.getOrDefault(holder.id(), 0L)
+                != holder.announcement().incarnation();
+    }
+
+    private static ClaimReply vouched(ClaimReply reply) {
+        return reply == null ? null : new ClaimReply(reply.granted(), reply.holder(), true);
+    }
+
+    /** A young entry cannot know which agents have restarted. */
     private boolean isStarting() {
         return System.nanoTime() - createdNanos < ClaimRegistry.VOUCH_DELAY_NANOS;
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestService.java
@@ -30,6 +30,7 @@
 
 /** Serves the requests of callers. */
 public final class RequestService implements Service {
+    private static final long OBSERVE_MILLIS = 1_000L;
     private static final int MAX_RUNNING = 192;
     private static final int MAX_QUESTIONS = 64;
     private static final int MAX_CLAIM_CALLS = 64;
@@ -134,6 +135,8 @@
 
     @Override
     public void start(String address) {
+        timer.scheduleWithFixedDelay(
+                context.claims()::observeAgents, 0, OBSERVE_MILLIS, TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(
                 this::startNext, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(
