Move the attempt of a request to a file of its own

Ruled out: splitting the claims off (they share the run's lock and state). Change: RequestAttempt holds an attempt and the times of its probes. Conclusion: no behaviour changed.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/RequestRun.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Outcome;
@@ -32,9 +31,6 @@
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_SILENT_QUESTIONS = 2;
     private static final long LATE_GRACE_NANOS = 30_000_000_000L;
-    private static final long SHORTEST_PROBE_NANOS = 100_000_000L;
-    private static final long LONGEST_FIRST_PROBE_NANOS = 500_000_000L;
-    private static final long LONGEST_PROBE_NANOS = 2_000_000_000L;
     private static final int MAX_DOUBTS = 4;
     private static final long DOUBT_PAUSE_NANOS = 500_000_000L;
     private static final long PROBE_PAUSE_NANOS = 100_000_000L;
@@ -48,7 +44,7 @@
     private final String runId = UUID.randomUUID().toString();
     private final CompletableFuture<RequestResult> result = new CompletableFuture<>();
     private final Set<String> tried = new HashSet<>();
-    private Attempt current;
+    private RequestAttempt current;
     private RequestClaim claim;
     private RequestClaim firstRun;
     private SchedulerException lastFailure;
@@ -70,27 +66,6 @@
         this.progress = new RequestProgress(input.idempotent(), input.needsClaim());
     }
 
-    /** Is an attempt that was chosen, and sent unless {@code sent} is null. */
-    private static final class Attempt {
-        private final AttemptId id;
-        private final UpstreamPool.Chosen chosen;
-        private AttemptClient.Sent sent;
-        private long probeNanos;
-        private int silent;
-        private int doubts;
-        private boolean over;
-        private ScheduledFuture<?> probe;
-
-        private Attempt(AttemptId id, UpstreamPool.Chosen chosen) {
-            this.id = id;
-            this.chosen = chosen;
-        }
-
-        private AgentTarget agent() {
-            return chosen.agent();
-        }
-    }
-
     private interface Step {
         Optional<RequestAction> take();
     }
@@ -162,7 +137,7 @@
             }
             return false;
         }
-        current = new Attempt(context.nextAttempt(), chosen.get());
+        current = new RequestAttempt(context.nextAttempt(), chosen.get());
         tried.add(current.chosen.upstream());
         return true;
     }
@@ -171,7 +146,7 @@
         if (!chooseAttempt()) {
             return progress.on(replaces == null ? RequestEvent.CLAIM_FAILED : RequestEvent.NOT_RUN);
         }
-        Attempt attempt = current;
+        RequestAttempt attempt = current;
         claim =
                 new RequestClaim(
                         input.id(),
@@ -186,7 +161,7 @@
         return Optional.empty();
     }
 
-    private Optional<RequestAction> onClaim(Attempt attempt, ClaimClient.Result claimed) {
+    private Optional<RequestAction> onClaim(RequestAttempt attempt, ClaimClient.Result claimed) {
         boolean joining = progress.state() == RequestState.JOINING;
         switch (claimed.verdict()) {
             case CLAIMED -> {
@@ -218,7 +193,7 @@
         }
     }
 
-    private void abandon(Attempt attempt) {
+    private void abandon(RequestAttempt attempt) {
         end(attempt, AttemptResult.REFUSED);
         context.claims().withdraw(claim);
         claim = null;
@@ -254,18 +229,18 @@
         if (!input.needsClaim() && !chooseAttempt()) {
             return progress.attemptFailed(Outcome.NOT_RUN);
         }
-        Attempt attempt = current;
+        RequestAttempt attempt = current;
         note(RequestStepKind.ATTEMPT_SENT, attempt, "expected in " + expectedMillis(attempt));
         long left = Math.max(0, input.deadlineNanos() - System.nanoTime());
         Duration timeout = Duration.ofNanos(left + LATE_GRACE_NANOS);
         attempt.sent = context.client().send(attempt.id, input, attempt.agent(), left, timeout);
         attempt.sent.report().thenAccept(report -> step(() -> onReport(attempt, report)));
-        attempt.probeNanos = firstProbeNanos(attempt);
+        attempt.probeNanos = attempt.firstProbeNanos();
         probeLater(attempt, attempt.probeNanos);
         return Optional.empty();
     }
 
-    private void probe(Attempt attempt) {
+    private void probe(RequestAttempt attempt) {
         synchronized (this) {
             if (isPast(attempt)) {
                 return;
@@ -276,14 +251,14 @@
                 .thenAccept(report -> step(() -> onProbe(attempt, report)));
     }
 
-    private Optional<RequestAction> onProbe(Attempt attempt, AttemptReport report) {
+    private Optional<RequestAction> onProbe(RequestAttempt attempt, AttemptReport report) {
         if (isPast(attempt) || progress.state() != RequestState.ATTEMPTING) {
             return Optional.empty();
         }
         switch (report.kind()) {
             case RUNNING -> {
                 attempt.silent = 0;
-                attempt.probeNanos = Math.min(2 * attempt.probeNanos, LONGEST_PROBE_NANOS);
+                attempt.probeNanos = RequestAttempt.nextProbeNanos(attempt.probeNanos);
                 probeLater(attempt, attempt.probeNanos);
                 return Optional.empty();
             }
@@ -313,19 +288,19 @@
                 && report.failure().type().outcome() == Outcome.UNKNOWN;
     }
 
-    private Optional<RequestAction> lost(Attempt attempt, String detail) {
+    private Optional<RequestAction> lost(RequestAttempt attempt, String detail) {
         context.metrics().count("connections.lost");
         retire(attempt, detail);
         return progress.on(RequestEvent.LOST);
     }
 
-    private void retire(Attempt attempt, String detail) {
+    private void retire(RequestAttempt attempt, String detail) {
         note(RequestStepKind.CONNECTION_LOST, attempt, detail);
         attempt.sent.call().cancel(true);
         context.client().retireConnections();
     }
 
-    private Optional<RequestAction> onReport(Attempt attempt, AttemptReport report) {
+    private Optional<RequestAction> onReport(RequestAttempt attempt, AttemptReport report) {
         if (isPast(attempt)) {
             return Optional.empty();
         }
@@ -337,7 +312,7 @@
         };
     }
 
-    private Optional<RequestAction> onAnswer(Attempt attempt, AttemptAnswer whole) {
+    private Optional<RequestAction> onAnswer(RequestAttempt attempt, AttemptAnswer whole) {
         boolean ownFault = whole.status() >= 500;
         end(attempt, ownFault ? AttemptResult.FAILURE : AttemptResult.SUCCESS);
         note(
@@ -363,7 +338,7 @@
         return mayRepeat ? progress.attemptFailed(Outcome.RAN) : progress.on(RequestEvent.FAILED);
     }
 
-    private Optional<RequestAction> onFailure(Attempt attempt, SchedulerException failure) {
+    private Optional<RequestAction> onFailure(RequestAttempt attempt, SchedulerException failure) {
         boolean healthy =
                 failure.type().outcome() == Outcome.NOT_RUN
                         && failure.type() != FailureType.UPSTREAM_UNREACHABLE;
@@ -380,13 +355,13 @@
     }
 
     private Optional<RequestAction> resolveAttempt() {
-        Attempt attempt = current;
+        RequestAttempt attempt = current;
         watch(attempt.id, attempt.agent())
                 .thenAccept(report -> step(() -> onResolved(attempt, report)));
         return Optional.empty();
     }
 
-    private Optional<RequestAction> onResolved(Attempt attempt, AttemptReport report) {
+    private Optional<RequestAction> onResolved(RequestAttempt attempt, AttemptReport report) {
         if (report.kind() == AttemptReport.Kind.LOST) {
             context.client().cancel(attempt.id, attempt.agent());
             return onFailure(attempt, report.failure());
@@ -435,11 +410,11 @@
         };
     }
 
-    private boolean isPast(Attempt attempt) {
+    private boolean isPast(RequestAttempt attempt) {
         return attempt.over || current != attempt;
     }
 
-    private void end(Attempt attempt, AttemptResult attemptResult) {
+    private void end(RequestAttempt attempt, AttemptResult attemptResult) {
         attempt.over = true;
         if (attempt.probe != null) {
             attempt.probe.cancel(false);
@@ -486,20 +461,15 @@
         return new SchedulerException(type, detail);
     }
 
-    private void note(RequestStepKind kind, Attempt attempt, String detail) {
+    private void note(RequestStepKind kind, RequestAttempt attempt, String detail) {
         trail.add(kind, attempt.id, attempt.chosen.upstream(), detail);
     }
 
-    private static String expectedMillis(Attempt attempt) {
+    private static String expectedMillis(RequestAttempt attempt) {
         return TimeUnit.NANOSECONDS.toMillis(attempt.chosen.expectedNanos()) + " ms";
     }
 
-    private static long firstProbeNanos(Attempt attempt) {
-        long nanos = Math.max(SHORTEST_PROBE_NANOS, 2 * attempt.chosen.expectedNanos());
-        return Math.min(LONGEST_FIRST_PROBE_NANOS, nanos);
-    }
-
-    private void probeLater(Attempt attempt, long nanos) {
+    private void probeLater(RequestAttempt attempt, long nanos) {
         attempt.probe = context.timer().schedule(() -> probe(attempt), nanos, TimeUnit.NANOSECONDS);
     }
 }
