Count expected waits with a margin when admitting

Cause: at 150% load refusals came 2.4 s after the request: an attempt was taken in as long as its expected wait just fitted, so half of those at the edge waited until their deadline was out of reach.

Change: AdmissionQueue counts an expected wait 1.4 times.

--- a/fescueloom-core/src/main/java/org/fescueloom/request/AdmissionQueue.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/AdmissionQueue.java
@@ -31,6 +31,12 @@
     /** The share of a customer that has no guarantee. */
     public static final double UNGUARANTEED_SHARE = 0.01;
 
+    /**
+     * The factor on an expected wait: without it half of those that are taken in at the edge would
+     * wait until their deadline is out of reach.
+     */
+    private static final double WAIT_MARGIN = 1.4;
+
     private static final long INITIAL_SERVICE_NANOS = 1_000_000;
 
     private final AdmissionLimits limits;
@@ -248,7 +254,7 @@
                 || queuedBytes + waiting.attempt.bytes() > limits.maxBytes()) {
             return FailureType.UPSTREAM_FULL;
         }
-        double needed = waitNanos + serviceNanos(waiting.attempt, nowNanos);
+        double needed = WAIT_MARGIN * waitNanos + serviceNanos(waiting.attempt, nowNanos);
         return needed > left ? FailureType.DEADLINE_UNREACHABLE : null;
     }
 
