--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/KeeperService.java
@@ -151,7 +151,7 @@
         Map<String, List<String>> renewals = new LinkedHashMap<>();
         for (GangPlaced gang : gangs) {
             KeeperDecision decision = decide(gang, reports, roundAtMillis, now);
-            metrics.count("keeper.decisions." + decision.action().name().toLowerCase());
+            metrics.count("keeper.decisions." + decision.action().text());
             switch (decision.action()) {
                 case RENEW -> addRenewalsIfDue(gang, reports, renewals);
                 case COMPLETE -> {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/settings/SettingsLoader.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/settings/SettingsLoader.java
@@ -112,9 +112,8 @@
                 SocketAddresses.FORM + "; port 0 takes any free one");
         checkAdvertise(root);
         boolean agent = root.path("role").asText().equals(Role.AGENT.text());
-        boolean entry = root.path("role").asText().equals(Role.ENTRY.text());
         checkAddresses(root, "entries", agent ? "an agent" : null);
-        checkAddresses(root, "logService", entry ? "an entry" : null);
+        checkAddresses(root, "logService", "every daemon");
         checkChoice(
                 root,
                 "logLevel",
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/settings/SettingsLoaderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/settings/SettingsLoaderTest.java
@@ -100,8 +100,9 @@
         }
 
         @Test
-        void asksAnAgentForEntriesAndAnEntryForTheLog() {
+        void asksAnAgentForEntriesAndBothForTheLog() {
             assertThat(pathsOf(agentWith("entries", List.of()))).containsExactly("entries");
+            assertThat(pathsOf(agentWith("logService", List.of()))).containsExactly("logService");
             String entry = "{'role':'entry','member':'e','zone':'z','listen':'10.0.0.1:7'}";
             assertThat(pathsOf(entry.replace('\'', '"'))).containsExactly("logService");
         }
