Take each step of a gang's start under one lock

Cause: reading the change again: the bound's tick and a stop read the state of a start, stepped it, and stored it without holding the lock between, so they could overwrite what a worker's answer had just changed. JobLedger had listeners that nobody adds. Ruled out: leaving it (workers would refuse the late starts, but the state would be wrong). Change: GangStart.advance serves all three; the unused listeners are gone. Conclusion: one way to step a start.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStart.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/GangStart.java
@@ -76,7 +76,7 @@
     CompletableFuture<Void> begin() {
         Executor later =
                 CompletableFuture.delayedExecutor(TERMS.startBoundMillis(), TimeUnit.MILLISECONDS);
-        later.execute(() -> apply(run().tick(Clocks.monotonicMillis(), TERMS), tooLate()));
+        later.execute(() -> advance(r -> r.tick(Clocks.monotonicMillis(), TERMS), tooLate()));
         for (int i = 0; i < gang.members().size(); i++) {
             int member = i;
             grant(gang.members().get(i))
@@ -104,16 +104,14 @@
 
     private void tell(int member, MemberEvent event, Throwable error) {
         SchedulerException failure = error == null ? null : Failures.of(error);
-        GangStep step;
-        synchronized (this) {
-            step = run.on(member, event, Clocks.monotonicMillis(), TERMS);
-            run = step.run();
-        }
-        act(step, failure);
+        advance(r -> r.on(member, event, Clocks.monotonicMillis(), TERMS), failure);
     }
 
-    private void apply(GangStep step, SchedulerException failure) {
+    /** Takes one step under the lock, so that no step works on a state that another has left. */
+    private void advance(Function<GangRun, GangStep> event, SchedulerException failure) {
+        GangStep step;
         synchronized (this) {
+            step = event.apply(run);
             run = step.run();
         }
         act(step, failure);
@@ -228,7 +226,7 @@
     }
 
     private void stop(SchedulerException failure) {
-        apply(run().stop(Clocks.monotonicMillis(), TERMS), failure);
+        advance(r -> r.stop(Clocks.monotonicMillis(), TERMS), failure);
     }
 
     /** Returns all leases and reports the first reason; further reasons are passed over. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobLedger.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/jobs/JobLedger.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.fescueloom.job.GangPlaced;
@@ -29,7 +28,6 @@
 
     private final JobBook book = new JobBook();
     private final Map<String, CompletableFuture<RecordEffect>> waiters = new ConcurrentHashMap<>();
-    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
     private long skippedTo;
 
     /** Creates a ledger without jobs. */
@@ -60,7 +58,6 @@
         if (waiter != null) {
             waiter.complete(effect);
         }
-        listeners.forEach(Runnable::run);
     }
 
     /**
@@ -82,15 +79,6 @@
         waiters.remove(recordId);
     }
 
-    /**
-     * Adds a listener that runs after each record, on the follower's thread.
-     *
-     * @param listener the listener, not null; must not block
-     */
-    public void onChange(Runnable listener) {
-        listeners.add(Objects.requireNonNull(listener, "listener"));
-    }
-
     /**
      * Reads something from the book while no record is applied.
      *
