--- a/fescueloom-core/src/main/java/org/fescueloom/failure/FailureType.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/failure/FailureType.java
@@ -84,6 +84,12 @@
     WORKER_INVALID_ANSWER(502, Outcome.UNKNOWN),
     /** Not all members of a gang could be started within the bound. */
     GANG_START_INCOMPLETE(503, Outcome.NOT_RUN),
+    /** Another entry dispatches jobs now, or none does. */
+    NOT_DISPATCHER(503, Outcome.NOT_RUN),
+    /** No customer holds the key of the request. */
+    UNKNOWN_KEY(401, Outcome.NOT_RUN),
+    /** The process has read no configuration yet. */
+    NO_CONFIGURATION(503, Outcome.NOT_RUN),
     /** The process met a fault of its own before the request was started. */
     INTERNAL(500, Outcome.NOT_RUN);
 
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/fleet/FleetConfiguration.java
@@ -0,0 +1,101 @@
+package org.fescueloom.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Holds one version of the queues and customers; immutable, with look-ups by host and by key. */
+public final class FleetConfiguration {
+    private final long version;
+    private final Map<String, QueuePolicy> queues = new HashMap<>();
+    private final Map<String, List<QueuePolicy>> queuesByHost = new HashMap<>();
+    private final Map<String, CustomerTerms> customers = new HashMap<>();
+    private final Map<String, String> customersByKey = new HashMap<>();
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version its version; a later one has a higher number
+     * @param queues the queues, not null
+     * @param customers the customers, not null
+     */
+    public FleetConfiguration(
+            long version, List<QueuePolicy> queues, List<CustomerTerms> customers) {
+        this.version = version;
+        for (QueuePolicy queue : queues) {
+            this.queues.put(queue.name(), queue);
+            queuesByHost.computeIfAbsent(queue.host(), host -> new ArrayList<>()).add(queue);
+        }
+        queuesByHost
+                .values()
+                .forEach(
+                        list ->
+                                list.sort(
+                                        Comparator.comparingInt(
+                                                        (QueuePolicy q) -> q.pathPrefix().length())
+                                                .reversed()));
+        for (CustomerTerms customer : customers) {
+            this.customers.put(customer.name(), customer);
+            customer.keys().forEach(key -> customersByKey.put(key, customer.name()));
+        }
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return the version
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Finds the queue of a request by the longest prefix.
+     *
+     * @param host the host name that the caller used, not null
+     * @param path the path, not null
+     * @return the queue, or empty if there is none
+     */
+    public Optional<QueuePolicy> queueFor(String host, String path) {
+        for (QueuePolicy queue : queuesByHost.getOrDefault(host, List.of())) {
+            if (path.startsWith(queue.pathPrefix())) {
+                return Optional.of(queue);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Finds a queue by its name.
+     *
+     * @param name the name, not null
+     * @return the queue, or empty if there is none
+     */
+    public Optional<QueuePolicy> queue(String name) {
+        return Optional.ofNullable(queues.get(name));
+    }
+
+    /**
+     * Finds the customer that holds a key.
+     *
+     * @param key the key, not null
+     * @return the name of the customer, or empty if no customer holds the key
+     */
+    public Optional<String> customerOf(String key) {
+        return Optional.ofNullable(customersByKey.get(key));
+    }
+
+    /**
+     * Returns how many accelerators are guaranteed to a customer.
+     *
+     * @param customer the name, not null
+     * @return the number; 0 for a customer that is not known
+     */
+    public long guaranteedTo(String customer) {
+        CustomerTerms terms = customers.get(customer);
+        return terms == null ? 0 : terms.guaranteedAccelerators();
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/TaskScheduler.java
@@ -0,0 +1,108 @@
+package org.fescueloom.schedule;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Plans one round.
+ *
+ * <p>Units are served by priority, then by the time at which their job should be done. Units of
+ * priority 0 may stop others; the room that a stop gives back is kept for the unit that asked for
+ * it, because the next round finds it in the same order.
+ */
+public final class TaskScheduler {
+    private static final int PREEMPTING_PRIORITY = 0;
+
+    private TaskScheduler() {}
+
+    /**
+     * Decides what starts and what is stopped.
+     *
+     * @param waiting the tasks that may start, not null
+     * @param running the units that may be stopped, not null
+     * @param rooms the upstreams that may take tasks, not null
+     * @return the plan, never null
+     */
+    public static SchedulePlan plan(
+            Collection<WaitingUnit> waiting,
+            Collection<RunningUnit> running,
+            Collection<UpstreamRoom> rooms) {
+        RoomLedger ledger = new RoomLedger(rooms);
+        UnitFitter fitter = new UnitFitter(ledger);
+        VictimSearch victims = new VictimSearch(fitter, ledger);
+        List<Assignment> starts = new ArrayList<>();
+        Set<RunningUnit> left = new HashSet<>(running);
+        List<RunningUnit> stops = new ArrayList<>();
+        for (WaitingUnit unit : byRank(waiting)) {
+            Map<Integer, String> found = fitter.fit(unit, RoomLedger.Sight.FREE);
+            if (!found.isEmpty()) {
+                starts.add(new Assignment(unit, found));
+                take(ledger, unit, found);
+            }
+            if (found.size() < unit.indexes().size() && unit.priority() == PREEMPTING_PRIORITY) {
+                WaitingUnit rest = without(unit, found);
+                List<RunningUnit> chosen = makeRoom(rest, left, ledger, fitter, victims);
+                left.removeAll(chosen);
+                stops.addAll(chosen);
+            }
+        }
+        return new SchedulePlan(starts, stops);
+    }
+
+    private static List<WaitingUnit> byRank(Collection<WaitingUnit> waiting) {
+        List<WaitingUnit> ranked = new ArrayList<>(waiting);
+        ranked.sort(
+                Comparator.comparingInt(WaitingUnit::priority)
+                        .thenComparingLong(WaitingUnit::objectiveMillis)
+                        .thenComparing(WaitingUnit::job)
+                        .thenComparingInt(WaitingUnit::occurrence)
+                        .thenComparingInt(WaitingUnit::step));
+        return ranked;
+    }
+
+    /** Keeps promised room for a unit; stops others if there is not enough of it. */
+    private static List<RunningUnit> makeRoom(
+            WaitingUnit unit,
+            Set<RunningUnit> running,
+            RoomLedger ledger,
+            UnitFitter fitter,
+            VictimSearch victims) {
+        Map<Integer, String> later = fitter.fit(unit, RoomLedger.Sight.PROMISED);
+        List<RunningUnit> chosen = List.of();
+        if (later.size() < unit.indexes().size()) {
+            chosen = victims.search(unit, running);
+            for (RunningUnit victim : chosen) {
+                victim.room().forEach(ledger::promise);
+            }
+            later = fitter.fit(unit, RoomLedger.Sight.PROMISED);
+        }
+        take(ledger, unit, later);
+        return chosen;
+    }
+
+    private static void take(RoomLedger ledger, WaitingUnit unit, Map<Integer, String> agents) {
+        agents.values().forEach(agent -> ledger.take(agent, unit.spec().room()));
+    }
+
+    private static WaitingUnit without(WaitingUnit unit, Map<Integer, String> started) {
+        List<Integer> rest = new ArrayList<>(unit.indexes());
+        rest.removeAll(started.keySet());
+        return new WaitingUnit(
+                unit.job(),
+                unit.occurrence(),
+                unit.step(),
+                rest,
+                unit.spec(),
+                unit.service(),
+                unit.customer(),
+                unit.priority(),
+                unit.objectiveMillis(),
+                unit.waitedMillis(),
+                unit.perUpstream());
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
@@ -0,0 +1,140 @@
+package org.fescueloom.schedule;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.fescueloom.work.Resources;
+import org.fescueloom.work.StepSpec;
+
+/** Finds upstreams for the tasks of a unit. */
+final class UnitFitter {
+    /** A unit may leave its rack, and run slower, once it waited this many times its estimate. */
+    static final double PATIENCE = 1.0;
+
+    private final RoomLedger ledger;
+
+    /**
+     * Creates a fitter.
+     *
+     * @param ledger the room that is left, not null
+     */
+    UnitFitter(RoomLedger ledger) {
+        this.ledger = ledger;
+    }
+
+    /**
+     * Finds a place for every task of a gang, or for as many single tasks as fit.
+     *
+     * @param unit the tasks, not null
+     * @param sight which count of room to look at, not null
+     * @return the agent of each task that finds a place, by index; empty if none does
+     */
+    Map<Integer, String> fit(WaitingUnit unit, RoomLedger.Sight sight) {
+        return fit(unit, agent -> ledger.room(agent, sight));
+    }
+
+    /** Does the same with a given view of the room. */
+    Map<Integer, String> fit(WaitingUnit unit, Function<String, Resources> room) {
+        StepSpec spec = unit.spec();
+        boolean patient = unit.waitedMillis() < PATIENCE * spec.estimateMillis();
+        if (!spec.dataRack().isEmpty() && ledger.racks().contains(spec.dataRack())) {
+            Map<Integer, String> near = within(unit, spec.dataRack(), room);
+            if (!near.isEmpty() || patient) {
+                return near;
+            }
+        }
+        if (spec.gang() && spec.oneRack()) {
+            Optional<Map<Integer, String>> rack = bestRack(unit, room);
+            if (rack.isPresent() || patient) {
+                return rack.orElse(Map.of());
+            }
+        }
+        return within(unit, null, room);
+    }
+
+    private Optional<Map<Integer, String>> bestRack(
+            WaitingUnit unit, Function<String, Resources> room) {
+        Map<Integer, String> best = null;
+        double bestLeft = Double.MAX_VALUE;
+        for (String rack : ledger.racks()) {
+            Map<Integer, String> found = within(unit, rack, room);
+            if (!found.isEmpty()) {
+                double left = leftIn(unit.service(), rack, room);
+                if (left < bestLeft) {
+                    bestLeft = left;
+                    best = found;
+                }
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private double leftIn(String service, String rack, Function<String, Resources> room) {
+        double left = 0;
+        for (UpstreamRoom upstream : ledger.upstreams(service, rack)) {
+            left += room.apply(upstream.agent()).cores();
+        }
+        return left;
+    }
+
+    private Map<Integer, String> within(
+            WaitingUnit unit, String rack, Function<String, Resources> room) {
+        Resources need = unit.spec().room();
+        Map<String, Resources> left = new HashMap<>();
+        Map<String, Integer> used = new HashMap<>(unit.perUpstream());
+        List<UpstreamRoom> candidates = candidates(unit, rack);
+        for (UpstreamRoom upstream : candidates) {
+            left.put(upstream.agent(), room.apply(upstream.agent()));
+        }
+        Map<Integer, String> found = new LinkedHashMap<>();
+        for (int index : unit.indexes()) {
+            Optional<UpstreamRoom> best =
+                    candidates.stream()
+                            .filter(u -> need.fitsIn(left.get(u.agent())))
+                            .filter(u -> underLimit(unit.spec(), used, u.agent()))
+                            .min(byTightness(left));
+            if (best.isEmpty()) {
+                break;
+            }
+            String agent = best.get().agent();
+            found.put(index, agent);
+            left.computeIfPresent(agent, (k, have) -> have.minus(need));
+            used.merge(agent, 1, Integer::sum);
+        }
+        boolean partial = found.size() < unit.indexes().size();
+        return unit.spec().gang() && partial ? Map.of() : found;
+    }
+
+    private static boolean underLimit(StepSpec spec, Map<String, Integer> used, String agent) {
+        return spec.maxPerUpstream() == 0 || used.getOrDefault(agent, 0) < spec.maxPerUpstream();
+    }
+
+    /** Prefers fast upstreams, and among equals the one with the least room left. */
+    private static Comparator<UpstreamRoom> byTightness(Map<String, Resources> left) {
+        return Comparator.comparingDouble((UpstreamRoom u) -> slownessClass(u.slowness()))
+                .thenComparingLong(u -> left.get(u.agent()).accelerators())
+                .thenComparingLong(u -> left.get(u.agent()).cpuMillis())
+                .thenComparing(UpstreamRoom::agent);
+    }
+
+    /** Rounds to steps of a half, so that small differences do not scatter the tasks. */
+    private static double slownessClass(double slowness) {
+        return Math.rint(slowness * 2);
+    }
+
+    private List<UpstreamRoom> candidates(WaitingUnit unit, String rack) {
+        List<UpstreamRoom> fitting = new ArrayList<>();
+        String label = unit.spec().requiredLabel();
+        for (UpstreamRoom upstream : ledger.upstreams(unit.service(), rack)) {
+            if (label.isEmpty() || upstream.labels().contains(label)) {
+                fitting.add(upstream);
+            }
+        }
+        return fitting;
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/VictimSearch.java
@@ -0,0 +1,83 @@
+package org.fescueloom.schedule;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fescueloom.work.Resources;
+
+/** Finds the running units whose stop makes room for a unit with the least loss. */
+final class VictimSearch {
+    private final UnitFitter fitter;
+    private final RoomLedger ledger;
+
+    /**
+     * Creates a search.
+     *
+     * @param fitter finds places, not null
+     * @param ledger the room that is left, not null
+     */
+    VictimSearch(UnitFitter fitter, RoomLedger ledger) {
+        this.fitter = fitter;
+        this.ledger = ledger;
+    }
+
+    /**
+     * Finds units to stop.
+     *
+     * @param unit the tasks that want room, not null
+     * @param running the units that may be stopped, not null
+     * @return the units to stop; empty if no set of them makes enough room
+     */
+    List<RunningUnit> search(WaitingUnit unit, Collection<RunningUnit> running) {
+        List<RunningUnit> order = new ArrayList<>(running);
+        order.removeIf(r -> r.priority() <= unit.priority());
+        order.sort(
+                Comparator.comparingInt(RunningUnit::priority)
+                        .reversed()
+                        .thenComparingDouble(RunningUnit::lossCoreSeconds)
+                        .thenComparing(RunningUnit::id));
+        Map<String, Resources> gained = new HashMap<>();
+        List<RunningUnit> chosen = new ArrayList<>();
+        for (RunningUnit victim : order) {
+            add(gained, victim);
+            chosen.add(victim);
+            if (fits(unit, gained)) {
+                return withoutSurplus(unit, chosen);
+            }
+        }
+        return List.of();
+    }
+
+    /** Drops each unit that is not needed, the most costly ones first. */
+    private List<RunningUnit> withoutSurplus(WaitingUnit unit, List<RunningUnit> chosen) {
+        List<RunningUnit> kept = new ArrayList<>(chosen);
+        List<RunningUnit> costly = new ArrayList<>(chosen);
+        costly.sort(Comparator.comparingDouble(RunningUnit::lossCoreSeconds).reversed());
+        for (RunningUnit victim : costly) {
+            kept.remove(victim);
+            Map<String, Resources> gained = new HashMap<>();
+            kept.forEach(r -> add(gained, r));
+            if (!fits(unit, gained)) {
+                kept.add(victim);
+            }
+        }
+        return kept;
+    }
+
+    private boolean fits(WaitingUnit unit, Map<String, Resources> gained) {
+        Map<Integer, String> found =
+                fitter.fit(
+                        unit,
+                        agent ->
+                                ledger.room(agent, RoomLedger.Sight.PROMISED)
+                                        .plus(gained.getOrDefault(agent, Resources.NONE)));
+        return found.size() == unit.indexes().size();
+    }
+
+    private static void add(Map<String, Resources> gained, RunningUnit victim) {
+        victim.room().forEach((agent, room) -> gained.merge(agent, room, Resources::plus));
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
@@ -0,0 +1,47 @@
+package org.fescueloom.schedule;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.fescueloom.work.StepSpec;
+
+/**
+ * Describes tasks of one step that wait for a start; those of a gang start together or not at all.
+ *
+ * @param job the identifier of the job, not null
+ * @param occurrence the occurrence, from 0
+ * @param step the number of the step, from 0
+ * @param indexes the tasks that wait, at least one
+ * @param spec the step, not null
+ * @param service the service that runs it, not null
+ * @param customer the customer, not null
+ * @param priority the priority of its queue; 0 comes first
+ * @param objectiveMillis when the job should be done, on the clock of the caller, in milliseconds
+ * @param waitedMillis how long the tasks have waited, in milliseconds
+ * @param perUpstream how many tasks of the step each agent runs already, not null
+ */
+public record WaitingUnit(
+        String job,
+        int occurrence,
+        int step,
+        List<Integer> indexes,
+        StepSpec spec,
+        String service,
+        String customer,
+        int priority,
+        long objectiveMillis,
+        long waitedMillis,
+        Map<String, Integer> perUpstream) {
+    /** Checks the values. */
+    public WaitingUnit {
+        Objects.requireNonNull(job, "job");
+        Objects.requireNonNull(spec, "spec");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(customer, "customer");
+        indexes = List.copyOf(indexes);
+        perUpstream = Map.copyOf(perUpstream);
+        if (indexes.isEmpty()) {
+            throw new IllegalArgumentException("a unit needs at least one task");
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -0,0 +1,185 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.fescueloom.fleet.UpstreamNotice;
+import org.fescueloom.fleet.UpstreamState;
+import org.fescueloom.work.Resources;
+
+/** Holds what the dispatcher knows of one agent and of the upstream beside it. */
+final class AgentView {
+    /** A look waits for up to a second; one this old means that the upstream does not answer. */
+    private static final long MAX_LOOK_AGE_MILLIS = 2_500;
+
+    private final String name;
+    private final Map<String, AssignedRun> runs = new LinkedHashMap<>();
+    private AgentReport report;
+    private long heardMillis = Long.MIN_VALUE / 2;
+    private long grantedMillis;
+    private long acknowledged;
+    private long storedEnds;
+    private String boot = "";
+    private CompletableFuture<AgentOrders> waiting;
+    private long waitingSinceMillis;
+
+    /**
+     * Creates the view of an agent that has not reported.
+     *
+     * @param name the name of the agent
+     * @param grantedMillis when the last lease may have been granted to it, on the steady clock
+     */
+    AgentView(String name, long grantedMillis) {
+        this.name = name;
+        this.grantedMillis = grantedMillis;
+    }
+
+    String name() {
+        return name;
+    }
+
+    /** Returns the runs that may exist on the upstream, by task. */
+    Map<String, AssignedRun> runs() {
+        return runs;
+    }
+
+    AgentReport report() {
+        return report;
+    }
+
+    UpstreamNotice notice() {
+        return report == null ? null : report.notice();
+    }
+
+    /** Returns the life of the upstream that was reported last; empty before the first report. */
+    String boot() {
+        return boot;
+    }
+
+    long heardMillis() {
+        return heardMillis;
+    }
+
+    long grantedMillis() {
+        return grantedMillis;
+    }
+
+    long acknowledged() {
+        return acknowledged;
+    }
+
+    /** Takes a report; tells whether it is newer than what is known. */
+    boolean accept(AgentReport newer, long nowMillis) {
+        boolean stale =
+                report != null
+                        && report.process().equals(newer.process())
+                        && report.sequence() >= newer.sequence();
+        if (stale) {
+            return false;
+        }
+        heardMillis = nowMillis;
+        report = newer;
+        UpstreamNotice notice = newer.notice();
+        if (notice != null && !notice.boot().equals(boot)) {
+            boot = notice.boot();
+            acknowledged = 0;
+            storedEnds = 0;
+        }
+        return true;
+    }
+
+    /** Notes that a lease is granted now. */
+    void granted(long nowMillis) {
+        grantedMillis = nowMillis;
+    }
+
+    /** Tells whether an end was taken in before, and takes it in. */
+    boolean takeEnd(long number) {
+        if (number <= storedEnds) {
+            return false;
+        }
+        storedEnds = number;
+        return true;
+    }
+
+    /** Returns the number of the last end that was taken in. */
+    long takenEnds() {
+        return storedEnds;
+    }
+
+    /** Notes that all ends up to a number are stored. */
+    void acknowledge(String endsBoot, long number) {
+        if (endsBoot.equals(boot)) {
+            acknowledged = Math.max(acknowledged, number);
+        }
+    }
+
+    /** Returns what the upstream has in all. */
+    Resources capacity() {
+        return notice() == null ? Resources.NONE : notice().capacity();
+    }
+
+    /** Returns what all runs that may exist take. */
+    Resources used() {
+        Resources sum = Resources.NONE;
+        for (AssignedRun run : runs.values()) {
+            sum = sum.plus(run.room());
+        }
+        return sum;
+    }
+
+    /** Returns what the runs take that are told to stop. */
+    Resources stopping() {
+        Resources sum = Resources.NONE;
+        for (AssignedRun run : runs.values()) {
+            if (run.stopRequested()) {
+                sum = sum.plus(run.room());
+            }
+        }
+        return sum;
+    }
+
+    /** Tells whether the agent has reached its upstream lately, so that a lease can be renewed. */
+    boolean looking() {
+        return notice() != null && report.looked() && report.lookAgeMillis() < MAX_LOOK_AGE_MILLIS;
+    }
+
+    /** Tells whether the upstream takes tasks as far as the agent has said. */
+    boolean ready() {
+        return looking() && notice().state() == UpstreamState.READY;
+    }
+
+    /** Parks a report until there is something to tell; answers the one that was parked before. */
+    void park(CompletableFuture<AgentOrders> reply, long nowMillis) {
+        waiting = reply;
+        waitingSinceMillis = nowMillis;
+    }
+
+    /** Takes the parked report, or null. */
+    CompletableFuture<AgentOrders> unpark() {
+        CompletableFuture<AgentOrders> parked = waiting;
+        waiting = null;
+        return parked;
+    }
+
+    boolean parked() {
+        return waiting != null;
+    }
+
+    long waitingSinceMillis() {
+        return waitingSinceMillis;
+    }
+
+    /** Returns the runs of another life of the upstream than the one that was reported. */
+    List<AssignedRun> runsOfOtherBoots() {
+        List<AssignedRun> found = new ArrayList<>();
+        for (AssignedRun run : runs.values()) {
+            if (!run.boot().equals(boot)) {
+                found.add(run);
+            }
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
@@ -0,0 +1,91 @@
+package org.fescueloom.daemon.dispatch;
+
+import org.fescueloom.work.Resources;
+import org.fescueloom.work.TaskKey;
+
+/** Follows one run from the decision to start it until its end is known. */
+final class AssignedRun {
+    private final TaskKey task;
+    private final int number;
+    private final String boot;
+    private final Resources room;
+    private final long assignedMillis;
+    private boolean stored;
+    private boolean seen;
+    private boolean stopRequested;
+    private long orderedMillis = Long.MIN_VALUE / 2;
+    private long seenMillis;
+
+    AssignedRun(TaskKey task, int number, String boot, Resources room, long assignedMillis) {
+        this.task = task;
+        this.number = number;
+        this.boot = boot;
+        this.room = room;
+        this.assignedMillis = assignedMillis;
+    }
+
+    TaskKey task() {
+        return task;
+    }
+
+    int number() {
+        return number;
+    }
+
+    String boot() {
+        return boot;
+    }
+
+    Resources room() {
+        return room;
+    }
+
+    long assignedMillis() {
+        return assignedMillis;
+    }
+
+    /** Tells whether the decision is stored, so that the order may be sent. */
+    boolean stored() {
+        return stored;
+    }
+
+    void markStored() {
+        stored = true;
+    }
+
+    /** Tells whether the upstream has listed the run. */
+    boolean seen() {
+        return seen;
+    }
+
+    void markSeen(long nowMillis) {
+        if (!seen) {
+            seen = true;
+            seenMillis = nowMillis;
+        }
+    }
+
+    long seenMillis() {
+        return seenMillis;
+    }
+
+    boolean stopRequested() {
+        return stopRequested;
+    }
+
+    void requestStop() {
+        if (!stopRequested) {
+            stopRequested = true;
+            orderedMillis = Long.MIN_VALUE / 2;
+        }
+    }
+
+    /** Tells whether an order about the run was sent within a time. */
+    boolean orderedWithin(long millis, long nowMillis) {
+        return nowMillis - orderedMillis < millis;
+    }
+
+    void markOrdered(long nowMillis) {
+        orderedMillis = nowMillis;
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
@@ -0,0 +1,269 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
+import org.fescueloom.log.Backoff;
+
+/**
+ * Stores the records of a dispatcher, many in one call, one call at a time.
+ *
+ * <p>Each append names the offset at which the log must end. An append whose answer was lost is
+ * repeated as it is until the log service tells what became of it, so a late execution does no
+ * harm. If the log has moved on by records of others, the dispatcher has been replaced. Confined to
+ * the thread of its owner.
+ */
+final class DurableWriter {
+    /**
+     * Keeps one append within what the log service takes in a call (2 MiB on known deployments).
+     */
+    static final int MAX_BATCH_BYTES = 1 << 20;
+
+    /** How long an answer of the log service is awaited; it answers in some 6 ms when healthy. */
+    private static final Duration APPEND_TIMEOUT = Duration.ofMillis(900);
+
+    private static final long FIRST_RETRY_MILLIS = 40;
+    private static final long MAX_RETRY_MILLIS = 400;
+
+    private final KeyedLog log;
+    private final String topic;
+    private final ScheduledExecutorService loop;
+    private final StoreContact contact;
+    private final Metrics metrics;
+    private final Runnable deposed;
+    private final Backoff backoff;
+    private final Map<String, Supplier<byte[]>> waiting = new LinkedHashMap<>();
+    private List<Runnable> waitingActions = new ArrayList<>();
+    private Batch batch;
+    private long endOffset;
+    private long failingSinceMillis = -1;
+    private boolean closed;
+
+    /** Holds what one append carries, and what is done once it is stored. */
+    private record Batch(List<KeyedRecord> records, Set<String> keys, List<Runnable> actions) {}
+
+    /**
+     * Creates a writer.
+     *
+     * @param log the log service
+     * @param topic the log to write
+     * @param endOffset where the log ends
+     * @param loop the thread of the owner
+     * @param contact is told of each answer
+     * @param metrics counts appends and retries
+     * @param deposed runs once when records of others are found
+     */
+    DurableWriter(
+            KeyedLog log,
+            String topic,
+            long endOffset,
+            ScheduledExecutorService loop,
+            StoreContact contact,
+            Metrics metrics,
+            Runnable deposed) {
+        this.log = log;
+        this.topic = topic;
+        this.endOffset = endOffset;
+        this.loop = loop;
+        this.contact = contact;
+        this.metrics = metrics;
+        this.deposed = deposed;
+        this.backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, new Random());
+    }
+
+    /** Marks a key as changed; its value is read when it is written. */
+    void put(String key, Supplier<byte[]> value) {
+        waiting.put(key, value);
+    }
+
+    /** Takes back a key that was not written yet; tells whether it was still waiting. */
+    boolean withdraw(String key) {
+        return waiting.remove(key) != null;
+    }
+
+    /** Runs an action once everything that is marked now has been stored. */
+    void whenStored(Runnable action) {
+        waitingActions.add(action);
+    }
+
+    /** Writes what is marked unless a write is under way. */
+    void flush() {
+        if (closed || batch != null || (waiting.isEmpty() && waitingActions.isEmpty())) {
+            return;
+        }
+        batch = nextBatch();
+        if (batch.records().isEmpty()) {
+            finishBatch();
+        } else {
+            send();
+        }
+    }
+
+    /** Asks the log service whether anybody else has written. */
+    void verify() {
+        if (closed || batch != null) {
+            return;
+        }
+        StoreContact.Moment sent = contact.now();
+        log.read(topic, endOffset, Duration.ZERO)
+                .whenCompleteAsync((slice, error) -> verified(sent, slice, error), loop);
+    }
+
+    /** Returns for how long the log service has failed, in milliseconds; 0 if it answers. */
+    long failingMillis() {
+        return failingSinceMillis < 0 ? 0 : contact.now().steadyMillis() - failingSinceMillis;
+    }
+
+    /** Writes nothing any more. */
+    void close() {
+        closed = true;
+    }
+
+    private Batch nextBatch() {
+        List<KeyedRecord> records = new ArrayList<>();
+        Set<String> keys = new HashSet<>();
+        int bytes = 0;
+        var entries = waiting.entrySet().iterator();
+        while (entries.hasNext() && bytes < MAX_BATCH_BYTES) {
+            Map.Entry<String, Supplier<byte[]>> entry = entries.next();
+            KeyedRecord written = new KeyedRecord(entry.getKey(), entry.getValue().get());
+            bytes += written.value().length + entry.getKey().length();
+            records.add(written);
+            keys.add(entry.getKey());
+            entries.remove();
+        }
+        // Actions wait for every key that was marked before them.
+        List<Runnable> actions = waiting.isEmpty() ? waitingActions : List.of();
+        if (waiting.isEmpty()) {
+            waitingActions = new ArrayList<>();
+        }
+        return new Batch(records, keys, actions);
+    }
+
+    private void send() {
+        if (closed) {
+            return;
+        }
+        StoreContact.Moment sent = contact.now();
+        log.append(topic, batch.records(), endOffset, APPEND_TIMEOUT)
+                .whenCompleteAsync((outcome, error) -> answered(sent, outcome, error), loop);
+    }
+
+    private void answered(StoreContact.Moment sent, AppendOutcome outcome, Throwable error) {
+        if (closed) {
+            return;
+        }
+        if (error != null) {
+            retry(sent, error);
+        } else if (outcome.appended()) {
+            stored(outcome.endOffset(), sent);
+        } else {
+            settle();
+        }
+    }
+
+    private void retry(StoreContact.Moment sent, Throwable error) {
+        FailureType type = Failures.typeOf(error);
+        metrics.countRetry(type);
+        if (failingSinceMillis < 0) {
+            failingSinceMillis = sent.steadyMillis();
+            EventLog.event("store-lost").field("end", endOffset).error(error).warn();
+        }
+        loop.schedule(this::send, backoff.nextMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Finds out whether the records at the expected end are those of a lost answer. */
+    private void settle() {
+        StoreContact.Moment sent = contact.now();
+        log.read(topic, endOffset, Duration.ZERO)
+                .whenCompleteAsync(
+                        (slice, error) -> {
+                            if (closed) {
+                                return;
+                            }
+                            if (error != null) {
+                                loop.schedule(
+                                        this::settle, backoff.nextMillis(), TimeUnit.MILLISECONDS);
+                            } else if (isBatch(slice)) {
+                                stored(endOffset + batch.records().size(), sent);
+                            } else {
+                                replaced(slice.endOffset());
+                            }
+                        },
+                        loop);
+    }
+
+    private boolean isBatch(KeyedSlice slice) {
+        List<KeyedRecord> found = slice.records();
+        List<KeyedRecord> expected = batch.records();
+        if (found.size() < expected.size()) {
+            return false;
+        }
+        for (int i = 0; i < expected.size(); i++) {
+            if (!found.get(i).key().equals(expected.get(i).key())
+                    || !Arrays.equals(found.get(i).value(), expected.get(i).value())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void stored(long newEnd, StoreContact.Moment sent) {
+        contact.confirm(sent);
+        metrics.timer("store.append")
+                .update(contact.now().steadyMillis() - sent.steadyMillis(), TimeUnit.MILLISECONDS);
+        if (failingSinceMillis >= 0) {
+            EventLog.event("store-regained").field("millis", failingMillis()).info();
+            failingSinceMillis = -1;
+        }
+        backoff.reset();
+        endOffset = newEnd;
+        finishBatch();
+    }
+
+    private void finishBatch() {
+        List<Runnable> actions = batch.actions();
+        batch = null;
+        actions.forEach(Runnable::run);
+        flush();
+    }
+
+    private void verified(StoreContact.Moment sent, KeyedSlice slice, Throwable error) {
+        if (closed || batch != null) {
+            return;
+        }
+        if (error != null) {
+            if (failingSinceMillis < 0) {
+                failingSinceMillis = sent.steadyMillis();
+                EventLog.event("store-lost").field("end", endOffset).error(error).warn();
+            }
+        } else if (slice.endOffset() > endOffset) {
+            replaced(slice.endOffset());
+        } else {
+            failingSinceMillis = -1;
+            contact.confirm(sent);
+        }
+    }
+
+    private void replaced(long foundEnd) {
+        EventLog.event("dispatcher-replaced")
+                .field("end", endOffset)
+                .field("found", foundEnd)
+                .warn();
+        closed = true;
+        deposed.run();
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EndRow.java
@@ -0,0 +1,14 @@
+package org.fescueloom.daemon.dispatch;
+
+import org.fescueloom.work.RunEnd;
+
+/**
+ * Describes a run that has ended on an upstream.
+ *
+ * @param number grows with each end in one life of the upstream
+ * @param task the name of the task, not null
+ * @param run the number of the run
+ * @param end how it ended, not null
+ * @param checkpoint the checkpoint that it left; empty if there is none
+ */
+public record EndRow(long number, String task, int run, RunEnd end, String checkpoint) {}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -0,0 +1,578 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.fescueloom.daemon.http.HttpAnswer;
+import org.fescueloom.daemon.http.HttpCall;
+import org.fescueloom.daemon.http.HttpClient;
+import org.fescueloom.daemon.http.HttpReply;
+import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.FailureBody;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
+import org.fescueloom.failure.Outcome;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.json.Json;
+import org.fescueloom.work.JobView;
+import org.fescueloom.work.Submission;
+
+/**
+ * Takes part in the choice of the dispatcher and passes calls to it.
+ *
+ * <p>An entry that has not heard from the dispatcher for a while asks the other entries, and claims
+ * the office if none of them hears it. A wrong suspicion costs a change of the dispatcher and
+ * breaks no promise: the log refuses the appends of the one that was replaced.
+ */
+public final class EntryNode implements JobDesk {
+    /** The topic in which entries tell where they are reached. */
+    static final String ENTRIES_TOPIC = "keyed.entries";
+
+    private static final long TICK_MILLIS = 200;
+
+    /** How often the dispatcher is asked whether it lives. */
+    private static final long HELLO_MILLIS = 400;
+
+    /** An answer between two entries takes some 3 ms; a slowed one several times that. */
+    private static final Duration HELLO_TIMEOUT = Duration.ofMillis(800);
+
+    /** Without an answer for this long the dispatcher is suspected. */
+    private static final long SUSPECT_MILLIS = 1_400;
+
+    /** A dispatcher that others hear is left alone for this long. */
+    private static final long HEARD_BY_OTHERS_MILLIS = 1_000;
+
+    /** A dispatcher that the log service fails for this long is replaced if another can write. */
+    private static final long STORE_FAILING_MILLIS = 1_500;
+
+    /** How much later the next entry in turn claims. */
+    private static final long TURN_MILLIS = 300;
+
+    private static final long FORWARD_RETRY_MILLIS = 100;
+
+    /** How long a call looks for the dispatcher before it is refused. */
+    private static final long FORWARD_PATIENCE_MILLIS = 1_800;
+
+    private static final int MAX_CALLS = 64;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    private final String address;
+    private final String process = UUID.randomUUID().toString();
+    private final KeyedLog log;
+    private final DispatchTerms terms;
+    private final ScheduledExecutorService loop;
+    private final Supplier<FleetView> fleet;
+    private final Metrics metrics;
+    private final HttpClient http = new HttpClient(MAX_CALLS, CONNECT_TIMEOUT);
+    private final StoreContact clocks = StoreContact.onSystemClocks();
+    private final Set<String> entries = new TreeSet<>();
+    private volatile Dispatcher dispatcher;
+    private volatile String leader = "";
+    private long epoch;
+    private long leaderHeardMillis;
+    private long helloMillis = Long.MIN_VALUE / 2;
+    private long suspectedMillis = -1;
+    private boolean claiming;
+    private long claimNotBefore;
+    private boolean helloPending;
+    private volatile boolean leaving;
+    private boolean registered;
+
+    /**
+     * Creates an entry that does not take part yet.
+     *
+     * @param address where other processes of the system reach it, as "address:port", not null
+     * @param seeds where other entries may be reached, not null
+     * @param log the log service, not null
+     * @param terms the times of dispatching, not null
+     * @param loop the one thread of the entry, not null
+     * @param fleet gives what operators have set, not null
+     * @param metrics counts calls and retries, not null
+     */
+    public EntryNode(
+            String address,
+            List<String> seeds,
+            KeyedLog log,
+            DispatchTerms terms,
+            ScheduledExecutorService loop,
+            Supplier<FleetView> fleet,
+            Metrics metrics) {
+        this.address = address;
+        this.log = log;
+        this.terms = terms;
+        this.loop = loop;
+        this.fleet = fleet;
+        this.metrics = metrics;
+        entries.addAll(seeds);
+        entries.add(address);
+    }
+
+    /**
+     * Adds the routes between the processes of the system; to be called before the server starts.
+     *
+     * @param server the server that other processes reach, not null
+     */
+    public void routes(HttpServer server) {
+        server.route("POST", "/peer/hello", call -> onLoop(() -> answerHello(call)));
+        server.route("POST", "/agent/report", this::report);
+        server.route("GET", "/agent/dispatcher", call -> onLoop(() -> done(myHello())));
+        server.route("POST", "/jobs/{id}", this::takeSubmit);
+        server.route("GET", "/jobs/{id}", this::takeView);
+        server.route("DELETE", "/jobs/{id}", this::takeCancel);
+        server.route("GET", "/queues/{queue}/pending", this::takePending);
+    }
+
+    /** Starts to take part. */
+    public void start() {
+        leaderHeardMillis = now() - SUSPECT_MILLIS;
+        findEntries();
+        loop.schedule(this::tick, 0, TimeUnit.MILLISECONDS);
+    }
+
+    /** Hands the office over, if this entry holds it; calls are passed on as before. */
+    public void leave() {
+        leaving = true;
+        loop.execute(
+                () -> {
+                    if (dispatcher != null) {
+                        stepDown("leaving");
+                    }
+                    others().forEach(this::sayHello);
+                });
+    }
+
+    /** Ends all calls. */
+    public void close() {
+        http.close();
+    }
+
+    /**
+     * Tells whether calls can be served.
+     *
+     * @return whether the configuration was read and the dispatcher was heard of lately
+     */
+    public boolean ready() {
+        return !leaving && fleet.get().configuration() != null && !leader.isEmpty();
+    }
+
+    @Override
+    public CompletableFuture<Void> submit(Submission submission, long waitMillis) {
+        return forward("POST", "/jobs/" + submission.id(), submission, waitMillis)
+                .thenApply(answer -> null);
+    }
+
+    @Override
+    public CompletableFuture<JobView> view(String job, long waitMillis) {
+        return forward("GET", "/jobs/" + job, null, waitMillis)
+                .thenApply(answer -> answer.read(ViewAnswer.class).state());
+    }
+
+    @Override
+    public CompletableFuture<Boolean> cancel(String job, long waitMillis) {
+        return forward("DELETE", "/jobs/" + job, null, waitMillis)
+                .thenApply(answer -> answer.read(CancelAnswer.class).known());
+    }
+
+    @Override
+    public CompletableFuture<Long> pending(String queue, long waitMillis) {
+        return forward("GET", "/queues/" + queue + "/pending", null, waitMillis)
+                .thenApply(answer -> answer.read(PendingAnswer.class).pending());
+    }
+
+    private record ViewAnswer(JobView state) {}
+
+    private record CancelAnswer(boolean known) {}
+
+    private record PendingAnswer(long pending) {}
+
+    private CompletableFuture<HttpReply> takeSubmit(HttpCall call) {
+        Submission submission = call.read(Submission.class);
+        long wait = call.queryLong("wait", FORWARD_PATIENCE_MILLIS);
+        return here(
+                d ->
+                        d.submit(submission, wait)
+                                .thenApply(v -> HttpReply.json(new ViewAnswer(JobView.QUEUED))));
+    }
+
+    private CompletableFuture<HttpReply> takeView(HttpCall call) {
+        String id = call.path("id");
+        return here(d -> done(new ViewAnswer(d.view(id))));
+    }
+
+    private CompletableFuture<HttpReply> takeCancel(HttpCall call) {
+        String id = call.path("id");
+        return here(d -> d.cancel(id).thenApply(k -> HttpReply.json(new CancelAnswer(k))));
+    }
+
+    private CompletableFuture<HttpReply> takePending(HttpCall call) {
+        String queue = call.path("queue");
+        return here(d -> done(new PendingAnswer(d.pending(queue))));
+    }
+
+    private CompletableFuture<HttpReply> report(HttpCall call) {
+        AgentReport report = call.read(AgentReport.class);
+        return here(d -> d.report(report).thenApply(HttpReply::json));
+    }
+
+    /** Does something with the dispatcher of this process. */
+    private CompletableFuture<HttpReply> here(DispatcherCall call) {
+        return onLoop(
+                () -> {
+                    if (dispatcher == null) {
+                        return CompletableFuture.failedFuture(Dispatcher.notDispatcher());
+                    }
+                    return call.apply(dispatcher);
+                });
+    }
+
+    /** Uses the dispatcher on its thread. */
+    private interface DispatcherCall {
+        /** Starts the call. */
+        CompletableFuture<HttpReply> apply(Dispatcher dispatcher);
+    }
+
+    private CompletableFuture<HttpReply> onLoop(Supplier<CompletableFuture<HttpReply>> work) {
+        return CompletableFuture.supplyAsync(work, loop).thenCompose(f -> f);
+    }
+
+    private static CompletableFuture<HttpReply> done(Object body) {
+        return CompletableFuture.completedFuture(HttpReply.json(body));
+    }
+
+    /** Passes a call to the dispatcher, and waits a little if there is none just now. */
+    private CompletableFuture<HttpAnswer> forward(
+            String method, String path, Object body, long waitMillis) {
+        long patience = Math.min(waitMillis, FORWARD_PATIENCE_MILLIS);
+        Forwarding forwarding =
+                new Forwarding(method, path, body, now() + waitMillis, now() + patience);
+        forwarding.attempt();
+        return forwarding.result;
+    }
+
+    /** Follows one call until the dispatcher has answered it. */
+    private final class Forwarding {
+        private final CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+        private final String method;
+        private final String path;
+        private final Object body;
+        private final long deadline;
+        private final long patienceEnd;
+        private boolean maybeDone;
+
+        Forwarding(String method, String path, Object body, long deadline, long patienceEnd) {
+            this.method = method;
+            this.path = path;
+            this.body = body;
+            this.deadline = deadline;
+            this.patienceEnd = patienceEnd;
+        }
+
+        void attempt() {
+            String target = leader;
+            long left = deadline - now();
+            if (target.isEmpty() || left <= 0) {
+                later(Dispatcher.notDispatcher());
+                return;
+            }
+            String query = method.equals("POST") ? "?wait=" + Math.max(1, left - 100) : "";
+            http.send(
+                            HttpClient.request(method, target, path + query, body).build(),
+                            Duration.ofMillis(left))
+                    .whenComplete(this::answered);
+        }
+
+        private void answered(HttpAnswer answer, Throwable error) {
+            if (error != null) {
+                maybeDone = true;
+                later(Failures.of(error, FailureType.OUTCOME_UNKNOWN));
+                return;
+            }
+            if (answer.isSuccess()) {
+                result.complete(answer);
+                return;
+            }
+            FailureBody failure = readFailure(answer);
+            maybeDone |= failure.outcome() != Outcome.NOT_RUN;
+            SchedulerException cause =
+                    new SchedulerException(failure.error(), failure.detail(), 1_000);
+            if (failure.error() == FailureType.NOT_DISPATCHER) {
+                later(cause);
+            } else {
+                result.completeExceptionally(maybeDone ? unknown(cause) : cause);
+            }
+        }
+
+        private void later(SchedulerException cause) {
+            if (now() + FORWARD_RETRY_MILLIS < patienceEnd) {
+                metrics.countRetry(cause.type());
+                loop.schedule(this::attempt, FORWARD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            } else {
+                result.completeExceptionally(maybeDone ? unknown(cause) : cause);
+            }
+        }
+
+        private SchedulerException unknown(SchedulerException cause) {
+            return new SchedulerException(
+                    FailureType.OUTCOME_UNKNOWN, "the dispatcher has not answered", 0L, cause);
+        }
+    }
+
+    private static FailureBody readFailure(HttpAnswer answer) {
+        try {
+            return answer.read(FailureBody.class);
+        } catch (SchedulerException e) {
+            return new FailureBody(
+                    FailureType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, "status " + answer.status());
+        }
+    }
+
+    private CompletableFuture<HttpReply> answerHello(HttpCall call) {
+        learn(call.read(PeerHello.class));
+        return done(myHello());
+    }
+
+    private PeerHello myHello() {
+        Dispatcher mine = dispatcher;
+        return new PeerHello(
+                address,
+                epoch,
+                mine != null ? address : leader,
+                mine != null ? 0 : now() - leaderHeardMillis,
+                mine != null ? mine.storeFailingMillis() : 0,
+                leaving,
+                fleet.get().version(),
+                List.copyOf(entries));
+    }
+
+    private void learn(PeerHello hello) {
+        entries.add(hello.address());
+        entries.addAll(hello.entries());
+        if (hello.epoch() > epoch) {
+            epoch = hello.epoch();
+            if (dispatcher != null) {
+                stepDown("higher epoch " + epoch);
+            }
+            leader = hello.dispatcher();
+            leaderHeardMillis = now();
+            suspectedMillis = -1;
+            EventLog.event("dispatcher-changed")
+                    .field("epoch", epoch)
+                    .field("dispatcher", leader)
+                    .info();
+        } else if (hello.epoch() == epoch && hello.leaving() && leader.equals(hello.address())) {
+            leader = "";
+        } else if (hello.epoch() == epoch
+                && leader.isEmpty()
+                && !hello.leaving()
+                && hello.dispatcher().equals(hello.address())) {
+            leader = hello.address();
+            leaderHeardMillis = now();
+        }
+    }
+
+    private List<String> others() {
+        List<String> all = new ArrayList<>(entries);
+        all.remove(address);
+        return all;
+    }
+
+    private CompletableFuture<PeerHello> sayHello(String peer) {
+        return http.send(
+                        HttpClient.request("POST", peer, "/peer/hello", myHello()).build(),
+                        HELLO_TIMEOUT)
+                .thenApply(answer -> answer.read(PeerHello.class))
+                .whenCompleteAsync(
+                        (hello, error) -> {
+                            if (error == null) {
+                                learn(hello);
+                            }
+                        },
+                        loop);
+    }
+
+    private void tick() {
+        try {
+            if (dispatcher == null && !leaving) {
+                follow();
+            }
+        } finally {
+            loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void follow() {
+        long now = now();
+        if (!leader.isEmpty() && now - helloMillis >= HELLO_MILLIS && !helloPending) {
+            helloLeader(now);
+        }
+        if (now - leaderHeardMillis < SUSPECT_MILLIS && !leader.isEmpty()) {
+            return;
+        }
+        if (claiming || fleet.get().configuration() == null) {
+            return;
+        }
+        if (suspectedMillis < 0) {
+            suspect(now);
+        } else if (now >= claimNotBefore) {
+            claim();
+        }
+    }
+
+    private void helloLeader(long now) {
+        helloMillis = now;
+        helloPending = true;
+        String target = leader;
+        sayHello(target)
+                .whenCompleteAsync(
+                        (hello, error) -> {
+                            helloPending = false;
+                            if (error != null || !leader.equals(target)) {
+                                return;
+                            }
+                            if (!hello.dispatcher().equals(target)) {
+                                leader = "";
+                            } else if (hello.storeFailingMillis() < STORE_FAILING_MILLIS) {
+                                leaderHeardMillis = now();
+                                suspectedMillis = -1;
+                            } else {
+                                leaderHeardMillis = now() - SUSPECT_MILLIS;
+                            }
+                        },
+                        loop);
+    }
+
+    /** Asks the other entries; sets when this one may claim. */
+    private void suspect(long now) {
+        suspectedMillis = now;
+        List<String> turn = new ArrayList<>(entries);
+        turn.remove(leader);
+        claimNotBefore = now + TICK_MILLIS + TURN_MILLIS * Math.max(0, turn.indexOf(address));
+        EventLog.event("dispatcher-suspected")
+                .field("dispatcher", leader)
+                .field("epoch", epoch)
+                .field("silent", now - leaderHeardMillis)
+                .info();
+        for (String peer : others()) {
+            if (!peer.equals(leader)) {
+                sayHello(peer)
+                        .whenCompleteAsync(
+                                (hello, error) -> {
+                                    if (error == null && hearsLeader(hello)) {
+                                        claimNotBefore =
+                                                Math.max(
+                                                        claimNotBefore,
+                                                        now() + HEARD_BY_OTHERS_MILLIS);
+                                        suspectedMillis = -1;
+                                    }
+                                },
+                                loop);
+            }
+        }
+    }
+
+    private boolean hearsLeader(PeerHello hello) {
+        return hello.epoch() == epoch
+                && !hello.dispatcher().isEmpty()
+                && hello.heardMillis() < HEARD_BY_OTHERS_MILLIS
+                && !hello.address().equals(hello.dispatcher());
+    }
+
+    private void claim() {
+        claiming = true;
+        DispatchClaim claim = new DispatchClaim(address, process);
+        new ClaimAttempt(log, claim, clocks)
+                .run(epoch)
+                .whenCompleteAsync(
+                        (start, error) -> {
+                            claiming = false;
+                            suspectedMillis = -1;
+                            if (error == null) {
+                                lead(start);
+                            } else {
+                                leaderHeardMillis = now() - SUSPECT_MILLIS;
+                                EventLog.event("claim-failed")
+                                        .field("epoch", epoch)
+                                        .error(Failures.causeOf(error))
+                                        .warn();
+                            }
+                        },
+                        loop);
+    }
+
+    private void lead(Dispatcher.Start start) {
+        if (start.epoch() <= epoch || leaving) {
+            return;
+        }
+        epoch = start.epoch();
+        dispatcher =
+                new Dispatcher(
+                        start,
+                        terms,
+                        log,
+                        loop,
+                        fleet,
+                        () -> List.copyOf(entries),
+                        metrics,
+                        () -> stepDown("replaced"));
+        leader = address;
+        metrics.count("dispatcher.claims");
+        EventLog.event("dispatching")
+                .field("epoch", epoch)
+                .field("jobs", start.jobs().size())
+                .field("config", fleet.get().version())
+                .info();
+        dispatcher.start();
+        others().forEach(this::sayHello);
+    }
+
+    private void stepDown(String reason) {
+        EventLog.event("stepped-down").field("epoch", epoch).field("reason", reason).info();
+        Dispatcher old = dispatcher;
+        dispatcher = null;
+        leader = "";
+        leaderHeardMillis = now() - SUSPECT_MILLIS;
+        if (old != null) {
+            old.close();
+        }
+    }
+
+    /** Tells the others where this entry is, and learns where they are. */
+    private void findEntries() {
+        KeyedRecord mine = new KeyedRecord(address, Json.write(Map.of("process", process)));
+        log.newest(ENTRIES_TOPIC, "")
+                .thenCompose(
+                        page -> {
+                            page.records().forEach(r -> loop.execute(() -> entries.add(r.key())));
+                            return registered
+                                    ? CompletableFuture.completedFuture(null)
+                                    : log.append(
+                                            ENTRIES_TOPIC,
+                                            List.of(mine),
+                                            KeyedLog.ANY_END,
+                                            HELLO_TIMEOUT);
+                        })
+                .whenCompleteAsync(
+                        (outcome, error) -> {
+                            if (error == null) {
+                                registered = true;
+                            } else {
+                                loop.schedule(this::findEntries, 1, TimeUnit.SECONDS);
+                            }
+                        },
+                        loop);
+    }
+
+    private long now() {
+        return clocks.now().steadyMillis();
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -0,0 +1,211 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.Failures;
+import org.fescueloom.fleet.FleetConfiguration;
+import org.fescueloom.log.Backoff;
+
+/**
+ * Follows what operators set, and never goes back to an older configuration.
+ *
+ * <p>Reads the newest records, then waits for further ones. Starts again with the newest records
+ * when the log no longer holds those that follow.
+ */
+public final class FleetFollower {
+    /** How long one read waits; short enough to notice a silent connection within seconds. */
+    private static final Duration WAIT = Duration.ofMillis(2_000);
+
+    private static final long FIRST_RETRY_MILLIS = 50;
+    private static final long MAX_RETRY_MILLIS = 500;
+
+    private final KeyedLog log;
+    private final String topic;
+    private final OperatorDecoder decoder;
+    private final ScheduledExecutorService loop;
+    private final Metrics metrics;
+    private final Consumer<FleetView> listener;
+    private final Backoff backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, new Random());
+    private volatile FleetView view = FleetView.EMPTY;
+    private boolean failing;
+    private volatile boolean closed;
+
+    /**
+     * Creates a follower.
+     *
+     * @param log the log service, not null
+     * @param topic the log that operators write, not null
+     * @param decoder reads the records, not null
+     * @param loop runs the follower, not null
+     * @param metrics counts what is read, not null
+     * @param listener is told of each new view on the thread of {@code loop}, not null
+     */
+    public FleetFollower(
+            KeyedLog log,
+            String topic,
+            OperatorDecoder decoder,
+            ScheduledExecutorService loop,
+            Metrics metrics,
+            Consumer<FleetView> listener) {
+        this.log = log;
+        this.topic = topic;
+        this.decoder = decoder;
+        this.loop = loop;
+        this.metrics = metrics;
+        this.listener = listener;
+    }
+
+    /**
+     * Returns what is known now.
+     *
+     * @return the view, never null
+     */
+    public FleetView view() {
+        return view;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        readNewest();
+    }
+
+    /** Ends following. */
+    public void close() {
+        closed = true;
+    }
+
+    private void readNewest() {
+        readPages("", new ArrayList<>(), -1)
+                .whenCompleteAsync(
+                        (snapshot, error) -> {
+                            if (error != null) {
+                                retry(this::readNewest, error);
+                            } else {
+                                regained();
+                                replaceAll(snapshot);
+                                readOn();
+                            }
+                        },
+                        loop);
+    }
+
+    private CompletableFuture<Snapshot> readPages(
+            String afterKey, List<KeyedRecord> records, long firstEnd) {
+        return log.newest(topic, afterKey)
+                .thenCompose(
+                        page -> {
+                            records.addAll(page.records());
+                            // Pages are no snapshot: reading goes on from where the first one was.
+                            long end = firstEnd < 0 ? page.endOffset() : firstEnd;
+                            if (!page.more() || page.records().isEmpty()) {
+                                return CompletableFuture.completedFuture(
+                                        new Snapshot(records, end));
+                            }
+                            List<KeyedRecord> last = page.records();
+                            return readPages(last.get(last.size() - 1).key(), records, end);
+                        });
+    }
+
+    private record Snapshot(List<KeyedRecord> records, long endOffset) {}
+
+    private void readOn() {
+        if (closed) {
+            return;
+        }
+        log.read(topic, view.offset(), WAIT)
+                .whenCompleteAsync(
+                        (slice, error) -> {
+                            if (error != null) {
+                                retry(this::readOn, error);
+                            } else if (slice.expired()) {
+                                readNewest();
+                            } else {
+                                regained();
+                                apply(slice.records());
+                                readOn();
+                            }
+                        },
+                        loop);
+    }
+
+    private void retry(Runnable step, Throwable error) {
+        metrics.countRetry(Failures.typeOf(error));
+        if (!failing) {
+            failing = true;
+            EventLog.event("operator-log-lost")
+                    .field("offset", view.offset())
+                    .error(Failures.causeOf(error))
+                    .warn();
+        }
+        loop.schedule(step, backoff.nextMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void regained() {
+        backoff.reset();
+        if (failing) {
+            failing = false;
+            EventLog.event("operator-log-regained").field("offset", view.offset()).info();
+        }
+    }
+
+    private void replaceAll(Snapshot snapshot) {
+        FleetConfiguration newest = view.configuration();
+        Set<String> out = new HashSet<>();
+        for (KeyedRecord item : snapshot.records()) {
+            newest = newer(newest, decoder.configuration(item));
+            decoder.zone(item.key()).ifPresent(out::add);
+        }
+        publish(new FleetView(newest, out, snapshot.endOffset()));
+    }
+
+    private void apply(List<KeyedRecord> records) {
+        if (records.isEmpty()) {
+            return;
+        }
+        FleetConfiguration newest = view.configuration();
+        Set<String> out = new HashSet<>(view.zonesOut());
+        for (KeyedRecord item : records) {
+            newest = newer(newest, decoder.configuration(item));
+            Optional<String> zone = decoder.zone(item.key());
+            if (zone.isPresent() && item.value().length > 0) {
+                out.add(zone.get());
+            } else {
+                zone.ifPresent(out::remove);
+            }
+        }
+        publish(new FleetView(newest, out, view.offset() + records.size()));
+    }
+
+    private static FleetConfiguration newer(
+            FleetConfiguration known, Optional<FleetConfiguration> read) {
+        boolean newer =
+                read.isPresent() && (known == null || read.get().version() > known.version());
+        return newer ? read.get() : known;
+    }
+
+    private void publish(FleetView newer) {
+        boolean changed =
+                newer.version() != view.version() || !newer.zonesOut().equals(view.zonesOut());
+        view = newer;
+        if (changed) {
+            EventLog.event("fleet-changed")
+                    .field("config", newer.version())
+                    .field("zones-out", String.join(",", newer.zonesOut()))
+                    .field("offset", newer.offset())
+                    .info();
+            metrics.count("fleet.changes");
+            listener.accept(newer);
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/HoldAnswer.java
@@ -0,0 +1,20 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.List;
+
+/**
+ * Tells what an upstream holds.
+ *
+ * @param clockMillis the upstream's own steady clock
+ * @param bornMillis when this life of it began, in milliseconds since 1970; 0 if it does not say
+ * @param running what runs, not null
+ * @param ended what has ended and was not acknowledged, not null
+ */
+public record HoldAnswer(
+        long clockMillis, long bornMillis, List<RunRow> running, List<EndRow> ended) {
+    /** Copies the lists. */
+    public HoldAnswer {
+        running = List.copyOf(running);
+        ended = List.copyOf(ended);
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OtherBootException.java
@@ -0,0 +1,15 @@
+package org.fescueloom.daemon.dispatch;
+
+/** Says that another life of an upstream answered than the one that was meant. */
+public final class OtherBootException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates the exception.
+     *
+     * @param instance the upstream that was meant, not null
+     */
+    public OtherBootException(String instance) {
+        super("another instance answered in place of " + instance);
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/PeerHello.java
@@ -0,0 +1,34 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Tells another entry what an entry knows of who dispatches.
+ *
+ * @param address where the sender is reached, as "address:port", not null
+ * @param epoch the highest epoch that it knows; 0 if none
+ * @param dispatcher the address of the dispatcher of that epoch; empty if there is none now
+ * @param heardMillis how long ago the sender heard from the dispatcher, in milliseconds
+ * @param storeFailingMillis for how long the log service has failed the dispatcher, in
+ *     milliseconds; of no meaning unless the sender dispatches
+ * @param leaving whether the sender shuts down
+ * @param configVersion the version of the configuration that it has read
+ * @param entries the entries that it knows, not null
+ */
+public record PeerHello(
+        String address,
+        long epoch,
+        String dispatcher,
+        long heardMillis,
+        long storeFailingMillis,
+        boolean leaving,
+        long configVersion,
+        List<String> entries) {
+    /** Checks the values. */
+    public PeerHello {
+        Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(dispatcher, "dispatcher");
+        entries = List.copyOf(entries);
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
@@ -0,0 +1,186 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescueloom.fleet.QueuePolicy;
+import org.fescueloom.fleet.UpstreamNotice;
+import org.fescueloom.schedule.RunningUnit;
+import org.fescueloom.schedule.UpstreamRoom;
+import org.fescueloom.schedule.WaitingUnit;
+import org.fescueloom.work.Resources;
+import org.fescueloom.work.StepSpec;
+import org.fescueloom.work.Submission;
+import org.fescueloom.work.TaskKey;
+import org.fescueloom.work.TaskPhase;
+import org.fescueloom.work.TaskRecord;
+import org.fescueloom.work.WorkJob;
+
+/** Turns what the dispatcher knows into the input of a round. */
+final class RoundInput {
+    /** Stands for the priority of a queue that the configuration no longer has. */
+    private static final int LOWEST_PRIORITY = Integer.MAX_VALUE;
+
+    private final FleetView fleet;
+    private final Collection<AgentView> agents;
+    private final DispatchTerms terms;
+    private final long steadyMillis;
+    private final long dateMillis;
+    private final Map<TaskKey, String> agentOfTask = new HashMap<>();
+    private final Map<TaskKey, AssignedRun> runOfTask = new HashMap<>();
+
+    RoundInput(
+            FleetView fleet,
+            Collection<AgentView> agents,
+            DispatchTerms terms,
+            long steadyMillis,
+            long dateMillis) {
+        this.fleet = fleet;
+        this.agents = agents;
+        this.terms = terms;
+        this.steadyMillis = steadyMillis;
+        this.dateMillis = dateMillis;
+        for (AgentView agent : agents) {
+            for (AssignedRun run : agent.runs().values()) {
+                agentOfTask.put(run.task(), agent.name());
+                runOfTask.put(run.task(), run);
+            }
+        }
+    }
+
+    /** Returns the upstreams that may be given tasks. */
+    List<UpstreamRoom> rooms() {
+        List<UpstreamRoom> rooms = new ArrayList<>();
+        for (AgentView agent : agents) {
+            if (mayTakeTasks(agent)) {
+                UpstreamNotice notice = agent.notice();
+                Resources free = agent.capacity().minus(agent.used());
+                rooms.add(
+                        new UpstreamRoom(
+                                agent.name(),
+                                notice.service(),
+                                notice.rack(),
+                                new HashSet<>(notice.labels()),
+                                free,
+                                free.plus(agent.stopping()),
+                                1.0));
+            }
+        }
+        return rooms;
+    }
+
+    private boolean mayTakeTasks(AgentView agent) {
+        return agent.ready()
+                && steadyMillis - agent.heardMillis() < terms.freshReportMillis()
+                && !fleet.zonesOut().contains(agent.notice().zone());
+    }
+
+    /** Returns the tasks of a job that may start now. */
+    List<WaitingUnit> waiting(WorkJob job) {
+        List<WaitingUnit> units = new ArrayList<>();
+        Submission submission = job.submission();
+        for (int k : job.dueOccurrences(dateMillis)) {
+            for (int s = 0; s < submission.work().steps().size(); s++) {
+                if (job.ready(k, s)) {
+                    unit(job, k, s).ifPresent(units::add);
+                }
+            }
+        }
+        return units;
+    }
+
+    private Optional<WaitingUnit> unit(WorkJob job, int occurrence, int step) {
+        StepSpec spec = job.submission().work().steps().get(step);
+        List<TaskRecord> tasks = job.tasks(occurrence, step);
+        List<Integer> waiting = new ArrayList<>();
+        Map<String, Integer> perUpstream = new HashMap<>();
+        for (int i = 0; i < tasks.size(); i++) {
+            if (tasks.get(i).phase() == TaskPhase.WAITING) {
+                waiting.add(i);
+            } else if (tasks.get(i).phase() == TaskPhase.ASSIGNED) {
+                TaskKey key = new TaskKey(job.submission().id(), occurrence, step, i);
+                perUpstream.merge(agentOfTask.getOrDefault(key, ""), 1, Integer::sum);
+            }
+        }
+        boolean broken = spec.gang() && waiting.size() < tasks.size();
+        if (waiting.isEmpty() || broken) {
+            return Optional.empty();
+        }
+        Optional<QueuePolicy> queue = queue(job);
+        Submission submission = job.submission();
+        long due = Math.max(submission.acceptedAtMillis(), submission.work().dueMillis(occurrence));
+        double factor = queue.map(QueuePolicy::slackFactor).orElse(1.0);
+        long answer = queue.map(QueuePolicy::answerMillis).orElse(0L);
+        long objective = due + answer + (long) (factor * submission.work().longestChainMillis());
+        return Optional.of(
+                new WaitingUnit(
+                        submission.id(),
+                        occurrence,
+                        step,
+                        waiting,
+                        spec,
+                        queue.map(QueuePolicy::service).orElse(submission.service()),
+                        submission.customer(),
+                        queue.map(QueuePolicy::priority).orElse(LOWEST_PRIORITY),
+                        objective,
+                        Math.max(0, dateMillis - due),
+                        perUpstream));
+    }
+
+    private Optional<QueuePolicy> queue(WorkJob job) {
+        return fleet.configuration().queue(job.submission().queue());
+    }
+
+    /** Returns the runs that may be stopped for others. */
+    List<RunningUnit> running(Map<String, WorkJob> jobs) {
+        Map<String, List<AssignedRun>> groups = new LinkedHashMap<>();
+        for (AssignedRun run : runOfTask.values()) {
+            WorkJob job = jobs.get(run.task().job());
+            if (job != null) {
+                StepSpec spec = spec(job, run.task());
+                groups.computeIfAbsent(groupOf(run.task(), spec), id -> new ArrayList<>()).add(run);
+            }
+        }
+        List<RunningUnit> units = new ArrayList<>();
+        groups.forEach(
+                (id, runs) -> {
+                    if (runs.stream().noneMatch(AssignedRun::stopRequested)) {
+                        units.add(runningUnit(id, runs, jobs.get(runs.get(0).task().job())));
+                    }
+                });
+        return units;
+    }
+
+    /** Names what ends together: the gang of a task, or the task alone. */
+    static String groupOf(TaskKey task, StepSpec spec) {
+        return spec.gang()
+                ? task.job() + '.' + task.occurrence() + '.' + task.step()
+                : task.toString();
+    }
+
+    private static StepSpec spec(WorkJob job, TaskKey task) {
+        return job.submission().work().steps().get(task.step());
+    }
+
+    private RunningUnit runningUnit(String id, List<AssignedRun> runs, WorkJob job) {
+        Map<String, Resources> room = new HashMap<>();
+        double loss = 0;
+        for (AssignedRun run : runs) {
+            room.merge(agentOfTask.get(run.task()), run.room(), Resources::plus);
+            loss += loss(run, spec(job, run.task()));
+        }
+        int priority = queue(job).map(QueuePolicy::priority).orElse(LOWEST_PRIORITY);
+        return new RunningUnit(id, job.submission().customer(), priority, room, loss);
+    }
+
+    private double loss(AssignedRun run, StepSpec spec) {
+        long elapsed = run.seen() ? steadyMillis - run.seenMillis() : 0;
+        double seconds = elapsed / 1_000.0;
+        return spec.need().cores() * (spec.checkpoints() ? Math.min(seconds, 1.0) : seconds);
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunRow.java
@@ -0,0 +1,13 @@
+package org.fescueloom.daemon.dispatch;
+
+/**
+ * Describes a run that exists on an upstream.
+ *
+ * @param task the name of the task, not null
+ * @param run the number of the run
+ * @param checkpoint its newest checkpoint; empty if there is none
+ * @param percent the share of its speed that it may use
+ * @param load its tail latency in milliseconds if it serves, otherwise the processor time in use,
+ *     in thousandths of a core
+ */
+public record RunRow(String task, int run, String checkpoint, int percent, long load) {}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StartOrder.java
@@ -0,0 +1,12 @@
+package org.fescueloom.daemon.dispatch;
+
+/**
+ * Tells an agent to start a run.
+ *
+ * @param task the name of the task, not null
+ * @param run the number of the run
+ * @param boot the life of the upstream that is meant, not null
+ * @param payload the text that is handed to the task, not null
+ * @param checkpoint what it resumes from; empty to start afresh
+ */
+public record StartOrder(String task, int run, String boot, String payload, String checkpoint) {}
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StoreContact.java
@@ -0,0 +1,65 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Remembers when the log service last showed that nobody has taken over.
+ *
+ * <p>The steady clock of a suspended machine stands still. The date does not, so a contact counts
+ * as fresh only while both clocks have advanced alike. A step of the date makes a contact look
+ * stale, which costs one more question to the log service.
+ */
+final class StoreContact {
+    private static final long MAX_DIFFERENCE_MILLIS = 250;
+
+    private final MillisClock steady;
+    private final MillisClock date;
+    private long steadyMillis;
+    private long dateMillis;
+
+    /** Reads a clock in milliseconds. */
+    interface MillisClock {
+        /** Returns the time. */
+        long millis();
+    }
+
+    /** Holds the readings of both clocks at one moment. */
+    record Moment(long steadyMillis, long dateMillis) {}
+
+    StoreContact(MillisClock steady, MillisClock date) {
+        this.steady = steady;
+        this.date = date;
+        this.steadyMillis = Long.MIN_VALUE / 2;
+    }
+
+    /** Creates one on the clocks of the process. */
+    static StoreContact onSystemClocks() {
+        return new StoreContact(
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), System::currentTimeMillis);
+    }
+
+    /** Returns the present moment, to be handed to {@link #confirm} after the answer. */
+    Moment now() {
+        return new Moment(steady.millis(), date.millis());
+    }
+
+    /** Notes that the log service answered a call that was sent at a moment. */
+    void confirm(Moment sent) {
+        if (sent.steadyMillis() > steadyMillis) {
+            steadyMillis = sent.steadyMillis();
+            dateMillis = sent.dateMillis();
+        }
+    }
+
+    /** Returns how long ago the confirmed call was sent, in milliseconds. */
+    long ageMillis() {
+        return steady.millis() - steadyMillis;
+    }
+
+    /** Tells whether the confirmed call was sent within a time and no suspension has come since. */
+    boolean freshWithin(long millis) {
+        long elapsed = ageMillis();
+        long elapsedByDate = date.millis() - dateMillis;
+        return elapsed < millis && Math.abs(elapsedByDate - elapsed) < MAX_DIFFERENCE_MILLIS;
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
@@ -20,6 +20,15 @@
         this.body = guard.body();
     }
 
+    /**
+     * Returns the path of the request without its query.
+     *
+     * @return the path, starting with a slash, never null
+     */
+    public String requestPath() {
+        return context.getRequestPath();
+    }
+
     /**
      * Returns the value of a path variable.
      *
