--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
@@ -0,0 +1,157 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.work.JobView;
+import org.fescueloom.work.StepSpec;
+import org.fescueloom.work.TaskKey;
+import org.fescueloom.work.TaskRecord;
+import org.fescueloom.work.WorkJob;
+
+/** Holds what the parts of a dispatcher share; used on its thread only. */
+final class DispatchState {
+    private final long epoch;
+    private final DispatchTerms terms;
+    private final Supplier<FleetView> fleet;
+    private final StoreContact contact;
+    private final Metrics metrics;
+    private final DurableWriter writer;
+    private final Map<String, WorkJob> jobs;
+    private final long startedMillis;
+    private final Map<String, JobView> storedViews = new HashMap<>();
+    private final Map<String, AgentView> agents = new LinkedHashMap<>();
+
+    DispatchState(
+            long epoch,
+            Map<String, WorkJob> jobs,
+            DispatchTerms terms,
+            Supplier<FleetView> fleet,
+            StoreContact contact,
+            DurableWriter writer,
+            Metrics metrics) {
+        this.epoch = epoch;
+        this.jobs = jobs;
+        this.terms = terms;
+        this.fleet = fleet;
+        this.contact = contact;
+        this.writer = writer;
+        this.metrics = metrics;
+        this.startedMillis = contact.now().steadyMillis();
+    }
+
+    long epoch() {
+        return epoch;
+    }
+
+    DispatchTerms terms() {
+        return terms;
+    }
+
+    FleetView fleet() {
+        return fleet.get();
+    }
+
+    StoreContact contact() {
+        return contact;
+    }
+
+    Metrics metrics() {
+        return metrics;
+    }
+
+    DurableWriter writer() {
+        return writer;
+    }
+
+    /** Returns all jobs that are known, by identifier. */
+    Map<String, WorkJob> jobs() {
+        return jobs;
+    }
+
+    /** Returns the state of each job as it is stored. */
+    Map<String, JobView> storedViews() {
+        return storedViews;
+    }
+
+    /** Returns all agents that have reported or that runs are recorded for, by name. */
+    Map<String, AgentView> agents() {
+        return agents;
+    }
+
+    /** Returns when this dispatcher began, on the steady clock. */
+    long startedMillis() {
+        return startedMillis;
+    }
+
+    long steadyMillis() {
+        return contact.now().steadyMillis();
+    }
+
+    long dateMillis() {
+        return contact.now().dateMillis();
+    }
+
+    /**
+     * Returns the view of an agent.
+     *
+     * <p>The dispatcher before may have granted a lease to an agent that has not reported here
+     * until its own proof of the log ran out.
+     */
+    AgentView agent(String name) {
+        return agents.computeIfAbsent(
+                name, n -> new AgentView(n, startedMillis + terms.storeProofMillis()));
+    }
+
+    /** Marks a job to be written, and shows its new state once that is done. */
+    void changed(WorkJob job) {
+        String id = job.submission().id();
+        writer.put(JobStore.progressKey(id), () -> JobStore.write(job.progress()));
+        JobView view = job.view();
+        writer.whenStored(() -> storedViews.computeIfPresent(id, (k, old) -> view));
+    }
+
+    /** Takes up the runs that are recorded in the jobs that were read back. */
+    void restoreRuns() {
+        for (WorkJob job : jobs.values()) {
+            storedViews.put(job.submission().id(), job.view());
+            for (TaskKey key : job.assigned()) {
+                TaskRecord task = job.task(key);
+                AssignedRun run =
+                        new AssignedRun(
+                                key,
+                                task.run(),
+                                task.placement().boot(),
+                                stepOf(job, key).room(),
+                                startedMillis);
+                run.markStored();
+                if (job.phase().ended()) {
+                    run.requestStop();
+                }
+                agent(task.placement().agent()).runs().put(key.toString(), run);
+            }
+        }
+    }
+
+    /** Returns the step of a task. */
+    static StepSpec stepOf(WorkJob job, TaskKey task) {
+        return job.submission().work().steps().get(task.step());
+    }
+
+    /** Returns the tasks that end together with a task: its gang, or itself. */
+    static List<TaskKey> membersOf(WorkJob job, TaskKey task) {
+        StepSpec spec = stepOf(job, task);
+        if (!spec.gang()) {
+            return List.of(task);
+        }
+        List<TaskKey> members = new ArrayList<>();
+        for (int i = 0; i < spec.count(); i++) {
+            members.add(new TaskKey(task.job(), task.occurrence(), task.step(), i));
+        }
+        return members;
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -1,9 +1,7 @@
 package org.fescueloom.daemon.dispatch;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,9 +13,6 @@
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
-import org.fescueloom.fleet.QueuePolicy;
-import org.fescueloom.fleet.UpstreamNotice;
-import org.fescueloom.fleet.UpstreamState;
 import org.fescueloom.schedule.Assignment;
 import org.fescueloom.schedule.RunningUnit;
 import org.fescueloom.schedule.SchedulePlan;
@@ -30,7 +25,6 @@
 import org.fescueloom.work.StepSpec;
 import org.fescueloom.work.Submission;
 import org.fescueloom.work.TaskKey;
-import org.fescueloom.work.TaskPhase;
 import org.fescueloom.work.TaskRecord;
 import org.fescueloom.work.WorkJob;
 
@@ -44,38 +38,26 @@
     /** How often leases, due times and old jobs are looked at. */
     static final long TICK_MILLIS = 100;
 
-    /** How long a report of an agent waits for orders. */
-    private static final long REPORT_WAIT_MILLIS = 1_000;
-
-    /** How long an order that was sent is given before it is sent again. */
-    private static final long ORDER_REPEAT_MILLIS = 400;
-
     /** After this time without an answer the log service is asked again. */
     private static final long PROOF_AGE_MILLIS = 1_500;
 
-    /** A log service that has failed for this long is down: new jobs are refused at once. */
-    private static final long STORE_DOWN_MILLIS = 700;
-
     private static final long RETRY_MILLIS = 1_000;
 
-    private final long epoch;
-    private final DispatchTerms terms;
+    private final DispatchState state;
+    private final OrderDesk orders;
+    private final RunTracker runs;
+    private final JobIntake intake;
     private final ScheduledExecutorService loop;
-    private final Supplier<FleetView> fleet;
-    private final Supplier<List<String>> entries;
-    private final StoreContact contact;
-    private final Metrics metrics;
-    private final DurableWriter writer;
-    private final Map<String, WorkJob> jobs;
-    private final Map<String, JobView> storedViews = new HashMap<>();
-    private final Map<String, List<CompletableFuture<Void>>> unstored = new HashMap<>();
-    private final Map<String, AgentView> agents = new LinkedHashMap<>();
-    private final Set<String> failedGangRuns = new HashSet<>();
-    private final long startedMillis;
-    private boolean roundNeeded = true;
     private boolean closed;
 
-    /** Holds what a dispatcher is made from. */
+    /**
+     * Holds what a dispatcher starts from.
+     *
+     * @param epoch the offset behind its claim, which orders all dispatchers
+     * @param endOffset where the log of jobs ends
+     * @param claimed when the claim was sent
+     * @param jobs all jobs that are kept
+     */
     record Start(
             long epoch, long endOffset, StoreContact.Moment claimed, Map<String, WorkJob> jobs) {}
 
@@ -88,29 +70,24 @@
             Supplier<List<String>> entries,
             Metrics metrics,
             Runnable deposed) {
-        this.epoch = start.epoch();
-        this.terms = terms;
         this.loop = loop;
-        this.fleet = fleet;
-        this.entries = entries;
-        this.metrics = metrics;
-        this.contact = StoreContact.onSystemClocks();
-        this.contact.confirm(start.claimed());
-        this.startedMillis = contact.now().steadyMillis();
-        this.jobs = start.jobs();
-        this.writer =
+        StoreContact contact = StoreContact.onSystemClocks();
+        contact.confirm(start.claimed());
+        DurableWriter writer =
                 new DurableWriter(
                         log, JobStore.TOPIC, start.endOffset(), loop, contact, metrics, deposed);
-        restoreRuns();
-    }
-
-    long epoch() {
-        return epoch;
+        state =
+                new DispatchState(
+                        start.epoch(), start.jobs(), terms, fleet, contact, writer, metrics);
+        orders = new OrderDesk(state, entries);
+        runs = new RunTracker(state, orders);
+        intake = new JobIntake(state, loop, this::plan);
+        state.restoreRuns();
     }
 
     /** Returns for how long the log service has failed this dispatcher, in milliseconds. */
     long storeFailingMillis() {
-        return writer.failingMillis();
+        return state.writer().failingMillis();
     }
 
     /** Starts the regular work. */
@@ -120,111 +97,48 @@
 
     /** Ends all work; callers that wait are told that the outcome is not known. */
     void close() {
-        if (closed) {
-            return;
-        }
-        closed = true;
-        writer.close();
-        unstored.values()
-                .forEach(
-                        waiters ->
-                                waiters.forEach(
-                                        w -> w.completeExceptionally(undecided("replaced"))));
-        for (AgentView agent : agents.values()) {
-            CompletableFuture<AgentOrders> parked = agent.unpark();
-            if (parked != null) {
-                parked.completeExceptionally(notDispatcher());
-            }
+        if (!closed) {
+            closed = true;
+            state.writer().close();
+            intake.close();
+            orders.close();
         }
     }
 
     /** Accepts a job; the future completes once it is stored. */
     CompletableFuture<Void> submit(Submission submission, long waitMillis) {
-        String id = submission.id();
-        if (jobs.containsKey(id)) {
-            return storedViews.containsKey(id) ? done() : await(id, waitMillis);
-        }
-        if (writer.failingMillis() > STORE_DOWN_MILLIS) {
-            return CompletableFuture.failedFuture(
-                    new SchedulerException(
-                            FailureType.LOG_UNAVAILABLE, "the log is down", RETRY_MILLIS));
-        }
-        jobs.put(id, new WorkJob(submission));
-        unstored.put(id, new ArrayList<>());
-        writer.put(JobStore.submissionKey(id), () -> JobStore.write(submission));
-        writer.whenStored(() -> accepted(id));
-        CompletableFuture<Void> accepted = await(id, waitMillis);
-        flush();
-        return accepted;
-    }
-
-    private CompletableFuture<Void> await(String id, long waitMillis) {
-        CompletableFuture<Void> waiter = new CompletableFuture<>();
-        unstored.get(id).add(waiter);
-        loop.schedule(() -> giveUp(id, waiter), Math.max(1, waitMillis), TimeUnit.MILLISECONDS);
-        return waiter;
-    }
-
-    /** Answers a caller whose job is still not stored: it never runs if it was not sent yet. */
-    private void giveUp(String id, CompletableFuture<Void> waiter) {
-        if (waiter.isDone()) {
-            return;
-        }
-        boolean last = unstored.getOrDefault(id, List.of()).size() == 1;
-        if (last && writer.withdraw(JobStore.submissionKey(id))) {
-            jobs.remove(id);
-            unstored.remove(id);
-            waiter.completeExceptionally(
-                    new SchedulerException(
-                            FailureType.LOG_UNAVAILABLE, "the log is down", RETRY_MILLIS));
-        } else {
-            waiter.completeExceptionally(undecided("the log has not answered"));
-        }
-    }
-
-    private void accepted(String id) {
-        List<CompletableFuture<Void>> waiters = unstored.remove(id);
-        if (waiters == null) {
-            return;
-        }
-        storedViews.put(id, JobView.QUEUED);
-        metrics.count("tasks.jobs-accepted");
-        waiters.forEach(w -> w.complete(null));
-        roundNeeded = true;
-        plan();
+        return intake.submit(submission, waitMillis);
     }
 
     /** Returns the state of a job as it is stored. */
     JobView view(String id) {
-        return storedViews.getOrDefault(id, JobView.UNKNOWN);
+        return state.storedViews().getOrDefault(id, JobView.UNKNOWN);
     }
 
     /** Cancels a job; the future tells whether there is such a job, once that is stored. */
     CompletableFuture<Boolean> cancel(String id) {
-        WorkJob job = jobs.get(id);
+        WorkJob job = state.jobs().get(id);
         if (job == null) {
             return CompletableFuture.completedFuture(false);
         }
         if (!job.phase().ended()) {
-            job.end(JobPhase.CANCELLED, dateMillis());
-            EventLog.event("job-cancelled").field("job", id).field("epoch", epoch).info();
-            stopAll(job);
-            changed(job);
+            runs.end(job, JobPhase.CANCELLED);
+            state.changed(job);
         }
         CompletableFuture<Boolean> stored = new CompletableFuture<>();
-        writer.whenStored(() -> stored.complete(true));
-        flush();
+        state.writer().whenStored(() -> stored.complete(true));
+        state.writer().flush();
         return stored;
     }
 
     /** Counts the accepted jobs of a queue that have not begun. */
     long pending(String queue) {
         long count = 0;
-        for (WorkJob job : jobs.values()) {
+        for (WorkJob job : state.jobs().values()) {
             if (job.submission().queue().equals(queue)
                     && !job.phase().ended()
                     && !job.begun()
-                    && storedViews.containsKey(job.submission().id())) {
+                    && state.storedViews().containsKey(job.submission().id())) {
                 count++;
             }
         }
@@ -233,328 +147,133 @@
 
     /** Takes a report of an agent; the future completes when there are orders, or after a while. */
     CompletableFuture<AgentOrders> report(AgentReport report) {
-        long now = steadyMillis();
-        AgentView agent = agent(report.agent());
-        CompletableFuture<AgentOrders> reply = new CompletableFuture<>();
+        long now = state.steadyMillis();
+        AgentView agent = state.agent(report.agent());
         if (!agent.accept(report, now)) {
-            reply.complete(ordersFor(agent, now));
-            return reply;
+            return CompletableFuture.completedFuture(orders.orders(agent));
         }
-        CompletableFuture<AgentOrders> before = agent.unpark();
-        if (before != null) {
-            before.complete(ordersFor(agent, now));
+        boolean roomFreed = runs.takeIn(agent, report, now);
+        state.writer().flush();
+        if (roomFreed) {
+            plan();
         }
-        takeIn(agent, report, now);
-        flush();
-        plan();
-        agent.park(reply, now);
-        answerIfNeeded(agent, now, report.ended().isEmpty() ? 0 : 1);
+        CompletableFuture<AgentOrders> reply = new CompletableFuture<>();
+        orders.park(agent, reply);
         return reply;
     }
 
-    private AgentView agent(String name) {
-        return agents.computeIfAbsent(
-                name, n -> new AgentView(n, startedMillis + terms.storeProofMillis()));
-    }
-
-    private void restoreRuns() {
-        for (WorkJob job : jobs.values()) {
-            storedViews.put(job.submission().id(), job.view());
-            for (TaskKey key : job.assigned()) {
-                TaskRecord task = job.task(key);
-                StepSpec spec = spec(job, key);
-                AssignedRun run =
-                        new AssignedRun(
-                                key,
-                                task.run(),
-                                task.placement().boot(),
-                                spec.room(),
-                                startedMillis);
-                run.markStored();
-                if (job.phase().ended()) {
-                    run.requestStop();
-                }
-                agent(task.placement().agent()).runs().put(key.toString(), run);
-            }
-        }
-    }
-
-    private void takeIn(AgentView agent, AgentReport report, long now) {
-        UpstreamNotice notice = report.notice();
-        if (notice == null) {
-            return;
-        }
-        for (AssignedRun run : agent.runsOfOtherBoots()) {
-            endRun(agent, run, RunEnd.GONE, "");
-        }
-        if (notice.state() == UpstreamState.GONE) {
-            for (AssignedRun run : List.copyOf(agent.runs().values())) {
-                endRun(agent, run, RunEnd.GONE, "");
-            }
-            return;
-        }
-        if (!report.looked()) {
-            return;
-        }
-        boolean news = false;
-        for (EndRow row : report.ended()) {
-            if (agent.takeEnd(row.number())) {
-                takeEnd(agent, row);
-                news = true;
-            }
-        }
-        if (news) {
-            String boot = agent.boot();
-            long taken = agent.takenEnds();
-            writer.whenStored(
-                    () -> {
-                        agent.acknowledge(boot, taken);
-                        answerIfNeeded(agent, steadyMillis(), 1);
-                    });
-        }
-        for (RunRow row : report.running()) {
-            seen(agent, row, now);
-        }
-        for (StopOrder barred : report.barred()) {
-            AssignedRun run = agent.runs().get(barred.task());
-            if (run != null && run.number() == barred.run() && run.boot().equals(barred.boot())) {
-                endRun(agent, run, RunEnd.GONE, "");
-            }
-        }
-    }
-
-    private void takeEnd(AgentView agent, EndRow row) {
-        AssignedRun run = agent.runs().get(row.task());
-        if (run != null && run.number() == row.run()) {
-            endRun(agent, run, row.end(), row.checkpoint());
-        } else {
-            EventLog.event("end-ignored")
-                    .field("task", row.task())
-                    .field("run", row.run())
-                    .field("end", row.end().text())
-                    .field("agent", agent.name())
-                    .info();
-        }
-    }
-
-    private void seen(AgentView agent, RunRow row, long now) {
-        AssignedRun run = agent.runs().get(row.task());
-        if (run == null || run.number() != row.run()) {
-            return;
-        }
-        run.markSeen(now);
-        WorkJob job = jobs.get(run.task().job());
-        if (job != null && !row.checkpoint().isEmpty()) {
-            saveCheckpoint(job, run, row.checkpoint());
-        }
-    }
-
-    private void saveCheckpoint(WorkJob job, AssignedRun run, String checkpoint) {
-        for (TaskKey key : membersOf(job, run.task())) {
-            TaskRecord task = job.task(key);
-            if (task != null && task.run() == run.number()) {
-                job.put(key, task.saved(checkpoint));
-            }
-        }
-    }
-
-    /** Returns the tasks that end together with a task. */
-    private static List<TaskKey> membersOf(WorkJob job, TaskKey task) {
-        StepSpec spec = spec(job, task);
-        if (!spec.gang()) {
-            return List.of(task);
-        }
-        List<TaskKey> members = new ArrayList<>();
-        for (int i = 0; i < spec.count(); i++) {
-            members.add(new TaskKey(task.job(), task.occurrence(), task.step(), i));
-        }
-        return members;
-    }
-
-    private void endRun(AgentView agent, AssignedRun run, RunEnd end, String checkpoint) {
-        agent.runs().remove(run.task().toString());
-        WorkJob job = jobs.get(run.task().job());
-        EventLog.event("run-ended")
-                .field("task", run.task())
-                .field("run", run.number())
-                .field("agent", agent.name())
-                .field("boot", run.boot())
-                .field("end", end.text())
-                .field("seen", run.seen())
-                .field("epoch", epoch)
-                .info();
-        metrics.count("tasks.ends." + end.text());
-        if (job == null || job.task(run.task()) == null) {
-            return;
-        }
-        boolean gang = spec(job, run.task()).gang();
-        RunEnd counted = end;
-        if (gang && end == RunEnd.FAILED && !failedGangRuns.add(gangRun(run))) {
-            counted = RunEnd.BROKEN;
-        }
-        if (!checkpoint.isEmpty()) {
-            saveCheckpoint(job, run, checkpoint);
-        }
-        if (gang && end == RunEnd.DONE) {
-            gangDone(job, run);
-        } else {
-            apply(job, run.task(), counted);
-        }
-        conclude(job);
-        changed(job);
-        roundNeeded = true;
-    }
-
-    private static String gangRun(AssignedRun run) {
-        TaskKey task = run.task();
-        return task.job() + '.' + task.occurrence() + '.' + task.step() + '#' + run.number();
-    }
-
-    /** One end of a gang that is done stands for all its members. */
-    private void gangDone(WorkJob job, AssignedRun run) {
-        for (TaskKey key : membersOf(job, run.task())) {
-            TaskRecord task = job.task(key);
-            if (task != null && task.run() == run.number()) {
-                job.put(key, new TaskRecord(TaskPhase.DONE, task.run(), null, task.failures(), ""));
-                agents.values().forEach(a -> a.runs().remove(key.toString()));
-            }
-        }
-    }
-
-    private static void apply(WorkJob job, TaskKey key, RunEnd end) {
-        job.put(key, job.task(key).ended(end, ""));
-    }
-
-    /** Ends the job if nothing is left to do or its attempts are used up. */
-    private void conclude(WorkJob job) {
-        if (job.phase().ended()) {
+    private void tick() {
+        if (closed) {
             return;
         }
-        if (job.allDone()) {
-            job.end(JobPhase.SUCCEEDED, dateMillis());
-        } else if (attemptsUsedUp(job)) {
-            job.end(JobPhase.FAILED, dateMillis());
-            stopAll(job);
+        long now = state.steadyMillis();
+        state.agents().values().forEach(agent -> checkAgent(agent, now));
+        if (state.contact().ageMillis() > PROOF_AGE_MILLIS) {
+            state.writer().verify();
         }
-        if (job.phase().ended()) {
-            EventLog.event("job-ended")
-                    .field("job", job.submission().id())
-                    .field("queue", job.submission().queue())
-                    .field("phase", job.phase().text())
-                    .field("epoch", epoch)
-                    .field("millis", dateMillis() - job.submission().acceptedAtMillis())
-                    .info();
-            metrics.count("tasks.jobs-" + job.phase().text());
-        }
-    }
-
-    private boolean attemptsUsedUp(WorkJob job) {
-        int attempts =
-                fleet.get()
-                        .configuration()
-                        .queue(job.submission().queue())
-                        .map(QueuePolicy::attempts)
-                        .orElse(Integer.MAX_VALUE);
-        List<StepSpec> steps = job.submission().work().steps();
-        for (int k : job.dueOccurrences(dateMillis())) {
-            for (int s = 0; s < steps.size(); s++) {
-                if (!steps.get(s).endless() && failures(job, k, s) >= attempts) {
-                    return true;
-                }
-            }
-        }
-        return false;
-    }
-
-    /** Returns the most failures of a task of a step, or those of its gang. */
-    private static int failures(WorkJob job, int occurrence, int step) {
-        boolean gang = job.submission().work().steps().get(step).gang();
-        int most = 0;
-        int sum = 0;
-        for (TaskRecord task : job.tasks(occurrence, step)) {
-            most = Math.max(most, task.failures());
-            sum += task.failures();
-        }
-        return gang ? sum : most;
+        forgetOldJobs();
+        plan();
+        state.writer().flush();
+        state.agents().values().forEach(orders::answerIfNeeded);
+        loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void stopAll(WorkJob job) {
-        String prefix = job.submission().id() + '.';
-        for (AgentView agent : agents.values()) {
+    private void checkAgent(AgentView agent, long now) {
+        if (now - agent.grantedMillis() > state.terms().surelyLapsedMillis()) {
+            runs.endAll(agent, RunEnd.LAPSED);
+        } else if (agent.notice() != null && !orders.startAllowed(agent)) {
             for (AssignedRun run : agent.runs().values()) {
-                if (run.task().toString().startsWith(prefix)) {
+                if (!run.seen()) {
                     run.requestStop();
                 }
             }
-            answerIfNeeded(agent, steadyMillis(), 0);
         }
     }
 
-    private void changed(WorkJob job) {
-        String id = job.submission().id();
-        writer.put(JobStore.progressKey(id), () -> JobStore.write(job.progress()));
-        JobView view = job.view();
-        writer.whenStored(() -> storedViews.computeIfPresent(id, (k, old) -> view));
+    private void forgetOldJobs() {
+        long before = state.dateMillis() - state.terms().keepEndedMillis();
+        List<String> old = new ArrayList<>();
+        for (WorkJob job : state.jobs().values()) {
+            if (job.phase().ended() && job.endedAtMillis() < before && job.assigned().isEmpty()) {
+                old.add(job.submission().id());
+            }
+        }
+        for (String id : old) {
+            state.jobs().remove(id);
+            state.storedViews().remove(id);
+            state.writer().put(JobStore.progressKey(id), () -> new byte[0]);
+            state.writer().put(JobStore.submissionKey(id), () -> new byte[0]);
+        }
     }
 
     private void plan() {
-        if (!roundNeeded || closed || fleet.get().configuration() == null) {
+        if (closed || state.fleet().configuration() == null) {
             return;
         }
-        roundNeeded = false;
-        long now = steadyMillis();
-        RoundInput input = new RoundInput(fleet.get(), agents.values(), terms, now, dateMillis());
+        long now = state.steadyMillis();
+        RoundInput input =
+                new RoundInput(
+                        state.fleet(),
+                        state.agents().values(),
+                        state.terms(),
+                        now,
+                        state.dateMillis());
         List<WaitingUnit> waiting = new ArrayList<>();
-        for (WorkJob job : jobs.values()) {
-            if (!job.phase().ended() && storedViews.containsKey(job.submission().id())) {
+        for (WorkJob job : state.jobs().values()) {
+            if (!job.phase().ended() && state.storedViews().containsKey(job.submission().id())) {
                 waiting.addAll(input.waiting(job));
             }
         }
         if (waiting.isEmpty()) {
             return;
         }
-        SchedulePlan plan = TaskScheduler.plan(waiting, input.running(jobs), input.rooms());
+        SchedulePlan plan = TaskScheduler.plan(waiting, input.running(state.jobs()), input.rooms());
         plan.starts().forEach(start -> assign(start, now));
         plan.stops().forEach(this::preempt);
-        flush();
+        state.writer().flush();
     }
 
     private void assign(Assignment start, long now) {
         WaitingUnit unit = start.unit();
-        WorkJob job = jobs.get(unit.job());
-        List<AssignedRun> runs = new ArrayList<>();
+        WorkJob job = state.jobs().get(unit.job());
         int gangRun = 0;
         for (TaskRecord task : job.tasks(unit.occurrence(), unit.step())) {
             gangRun = Math.max(gangRun, task.run() + 1);
         }
+        List<AssignedRun> assigned = new ArrayList<>();
         for (Map.Entry<Integer, String> entry : start.agents().entrySet()) {
             TaskKey key = new TaskKey(unit.job(), unit.occurrence(), unit.step(), entry.getKey());
-            AgentView agent = agents.get(entry.getValue());
             TaskRecord task = job.task(key);
+            AgentView agent = state.agent(entry.getValue());
             int number = unit.spec().gang() ? gangRun : task.run() + 1;
             job.put(key, task.assigned(number, new Placement(agent.name(), agent.boot())));
             AssignedRun run = new AssignedRun(key, number, agent.boot(), unit.spec().room(), now);
             agent.runs().put(key.toString(), run);
-            runs.add(run);
-            EventLog.event("run-assigned")
-                    .field("task", key)
-                    .field("run", number)
-                    .field("agent", agent.name())
-                    .field("boot", agent.boot())
-                    .field("waited", unit.waitedMillis())
-                    .field("priority", unit.priority())
-                    .field("report-age", now - agent.heardMillis())
-                    .field("config", fleet.get().version())
-                    .field("epoch", epoch)
-                    .info();
+            assigned.add(run);
+            noteAssigned(unit, run, agent, now);
         }
-        changed(job);
-        writer.whenStored(
-                () -> {
-                    runs.forEach(AssignedRun::markStored);
-                    Set<String> woken = new HashSet<>(start.agents().values());
-                    woken.forEach(name -> answerIfNeeded(agents.get(name), steadyMillis(), 0));
-                });
+        state.changed(job);
+        Set<String> agents = new HashSet<>(start.agents().values());
+        state.writer()
+                .whenStored(
+                        () -> {
+                            assigned.forEach(AssignedRun::markStored);
+                            agents.forEach(name -> orders.answerIfNeeded(state.agent(name)));
+                        });
+    }
+
+    private void noteAssigned(WaitingUnit unit, AssignedRun run, AgentView agent, long now) {
+        EventLog.event("run-assigned")
+                .field("task", run.task())
+                .field("run", run.number())
+                .field("agent", agent.name())
+                .field("boot", run.boot())
+                .field("waited", unit.waitedMillis())
+                .field("priority", unit.priority())
+                .field("report-age", now - agent.heardMillis())
+                .field("config", state.fleet().version())
+                .field("epoch", state.epoch())
+                .info();
     }
 
     private void preempt(RunningUnit unit) {
@@ -562,169 +281,19 @@
                 .field("unit", unit.id())
                 .field("priority", unit.priority())
                 .field("loss", Math.round(unit.lossCoreSeconds()))
-                .field("epoch", epoch)
+                .field("epoch", state.epoch())
                 .info();
-        metrics.count("tasks.preempted");
-        for (AgentView agent : agents.values()) {
+        state.metrics().count("tasks.preempted");
+        for (AgentView agent : state.agents().values()) {
             for (AssignedRun run : agent.runs().values()) {
-                StepSpec spec = spec(jobs.get(run.task().job()), run.task());
+                WorkJob job = state.jobs().get(run.task().job());
+                StepSpec spec = DispatchState.stepOf(job, run.task());
                 if (RoundInput.groupOf(run.task(), spec).equals(unit.id())) {
                     run.requestStop();
                 }
             }
-            answerIfNeeded(agent, steadyMillis(), 0);
-        }
-    }
-
-    /** Answers the parked report of an agent if it has something to do. */
-    private void answerIfNeeded(AgentView agent, long now, int atLeastAcknowledge) {
-        if (!agent.parked()) {
-            return;
-        }
-        boolean due = now - agent.waitingSinceMillis() >= REPORT_WAIT_MILLIS;
-        boolean acknowledge =
-                atLeastAcknowledge > 0
-                        && agent.report() != null
-                        && agent.report().ended().stream()
-                                .anyMatch(row -> row.number() <= agent.acknowledged());
-        if (due || acknowledge || hasOrders(agent, now)) {
-            CompletableFuture<AgentOrders> reply = agent.unpark();
-            reply.complete(ordersFor(agent, now));
-        }
-    }
-
-    private boolean hasOrders(AgentView agent, long now) {
-        for (AssignedRun run : agent.runs().values()) {
-            boolean wanted = run.stopRequested() || !run.seen();
-            if (wanted && run.stored() && !run.orderedWithin(ORDER_REPEAT_MILLIS, now)) {
-                return true;
-            }
+            orders.answerIfNeeded(agent);
         }
-        return false;
-    }
-
-    private AgentOrders ordersFor(AgentView agent, long now) {
-        boolean proven = contact.freshWithin(terms.storeProofMillis());
-        List<StartOrder> starts = new ArrayList<>();
-        List<StopOrder> stops = new ArrayList<>();
-        for (AssignedRun run : agent.runs().values()) {
-            if (!run.stored() || !run.boot().equals(agent.boot())) {
-                continue;
-            }
-            if (run.stopRequested()) {
-                stops.add(new StopOrder(run.task().toString(), run.number(), run.boot()));
-                run.markOrdered(now);
-            } else if (!run.seen() && proven && startAllowed(agent)) {
-                starts.add(startOrder(run));
-                run.markOrdered(now);
-            }
-        }
-        addStrangers(agent, stops);
-        boolean granted = proven && agent.looking();
-        if (granted) {
-            agent.granted(now);
-        }
-        return new AgentOrders(
-                epoch,
-                granted ? terms.leaseMillis() : 0,
-                agent.boot(),
-                agent.acknowledged(),
-                starts,
-                stops,
-                entries.get());
-    }
-
-    private boolean startAllowed(AgentView agent) {
-        return agent.ready() && !fleet.get().zonesOut().contains(agent.notice().zone());
-    }
-
-    /** Stops what runs on the upstream without a record. */
-    private void addStrangers(AgentView agent, List<StopOrder> stops) {
-        if (agent.report() == null || agent.notice() == null) {
-            return;
-        }
-        for (RunRow row : agent.report().running()) {
-            AssignedRun known = agent.runs().get(row.task());
-            if (known == null || known.number() != row.run()) {
-                stops.add(new StopOrder(row.task(), row.run(), agent.boot()));
-            }
-        }
-    }
-
-    private StartOrder startOrder(AssignedRun run) {
-        WorkJob job = jobs.get(run.task().job());
-        return new StartOrder(
-                run.task().toString(),
-                run.number(),
-                run.boot(),
-                job.submission().work().payload(),
-                job.task(run.task()).checkpoint());
-    }
-
-    private void tick() {
-        if (closed) {
-            return;
-        }
-        long now = steadyMillis();
-        for (AgentView agent : agents.values()) {
-            boolean lapsed = now - agent.grantedMillis() > terms.surelyLapsedMillis();
-            for (AssignedRun run : List.copyOf(agent.runs().values())) {
-                if (lapsed) {
-                    endRun(agent, run, RunEnd.LAPSED, "");
-                } else if (!run.seen() && agent.notice() != null && !startAllowed(agent)) {
-                    run.requestStop();
-                }
-            }
-        }
-        if (contact.ageMillis() > PROOF_AGE_MILLIS) {
-            writer.verify();
-        }
-        forgetOldJobs();
-        roundNeeded = true;
-        plan();
-        flush();
-        agents.values().forEach(agent -> answerIfNeeded(agent, now, 0));
-        loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void forgetOldJobs() {
-        long before = dateMillis() - terms.keepEndedMillis();
-        List<String> old = new ArrayList<>();
-        for (WorkJob job : jobs.values()) {
-            if (job.phase().ended() && job.endedAtMillis() < before && job.assigned().isEmpty()) {
-                old.add(job.submission().id());
-            }
-        }
-        for (String id : old) {
-            jobs.remove(id);
-            storedViews.remove(id);
-            writer.put(JobStore.progressKey(id), () -> new byte[0]);
-            writer.put(JobStore.submissionKey(id), () -> new byte[0]);
-        }
-    }
-
-    private void flush() {
-        writer.flush();
-    }
-
-    private static StepSpec spec(WorkJob job, TaskKey task) {
-        return job.submission().work().steps().get(task.step());
-    }
-
-    private long steadyMillis() {
-        return contact.now().steadyMillis();
-    }
-
-    private long dateMillis() {
-        return contact.now().dateMillis();
-    }
-
-    private static CompletableFuture<Void> done() {
-        return CompletableFuture.completedFuture(null);
-    }
-
-    private static SchedulerException undecided(String detail) {
-        return new SchedulerException(FailureType.LOG_UNDECIDED, detail, RETRY_MILLIS);
     }
 
     /** Says that this process does not dispatch; nothing was done. */
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -0,0 +1,231 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.fleet.QueuePolicy;
+import org.fescueloom.fleet.UpstreamNotice;
+import org.fescueloom.fleet.UpstreamState;
+import org.fescueloom.work.JobPhase;
+import org.fescueloom.work.RunEnd;
+import org.fescueloom.work.StepSpec;
+import org.fescueloom.work.TaskKey;
+import org.fescueloom.work.TaskPhase;
+import org.fescueloom.work.TaskRecord;
+import org.fescueloom.work.WorkJob;
+
+/** Takes in what agents report of runs, and draws the consequences for tasks and jobs. */
+final class RunTracker {
+    private final DispatchState state;
+    private final OrderDesk orders;
+    private final Set<String> failedGangRuns = new HashSet<>();
+
+    RunTracker(DispatchState state, OrderDesk orders) {
+        this.state = state;
+        this.orders = orders;
+    }
+
+    /** Takes in a report that is newer than the last one; tells whether any run has ended. */
+    boolean takeIn(AgentView agent, AgentReport report, long now) {
+        UpstreamNotice notice = report.notice();
+        if (notice == null) {
+            return false;
+        }
+        int before = agent.runs().size();
+        agent.runsOfOtherBoots().forEach(run -> endRun(agent, run, RunEnd.GONE, ""));
+        if (notice.state() == UpstreamState.GONE) {
+            endAll(agent, RunEnd.GONE);
+        } else if (report.looked()) {
+            takeLook(agent, report, now);
+        }
+        return agent.runs().size() < before;
+    }
+
+    private void takeLook(AgentView agent, AgentReport report, long now) {
+        boolean news = false;
+        for (EndRow row : report.ended()) {
+            if (agent.takeEnd(row.number())) {
+                takeEnd(agent, row);
+                news = true;
+            }
+        }
+        if (news) {
+            acknowledgeOnceStored(agent);
+        }
+        report.running().forEach(row -> seen(agent, row, now));
+        for (StopOrder barred : report.barred()) {
+            AssignedRun run = agent.runs().get(barred.task());
+            if (run != null && run.number() == barred.run() && run.boot().equals(barred.boot())) {
+                endRun(agent, run, RunEnd.GONE, "");
+            }
+        }
+    }
+
+    private void acknowledgeOnceStored(AgentView agent) {
+        String boot = agent.boot();
+        long taken = agent.takenEnds();
+        state.writer()
+                .whenStored(
+                        () -> {
+                            agent.acknowledge(boot, taken);
+                            orders.answerIfNeeded(agent);
+                        });
+    }
+
+    private void takeEnd(AgentView agent, EndRow row) {
+        AssignedRun run = agent.runs().get(row.task());
+        if (run != null && run.number() == row.run()) {
+            endRun(agent, run, row.end(), row.checkpoint());
+        } else {
+            EventLog.event("end-ignored")
+                    .field("task", row.task())
+                    .field("run", row.run())
+                    .field("end", row.end().text())
+                    .field("agent", agent.name())
+                    .info();
+        }
+    }
+
+    private void seen(AgentView agent, RunRow row, long now) {
+        AssignedRun run = agent.runs().get(row.task());
+        if (run == null || run.number() != row.run()) {
+            return;
+        }
+        run.markSeen(now);
+        WorkJob job = state.jobs().get(run.task().job());
+        if (job != null && !row.checkpoint().isEmpty()) {
+            saveCheckpoint(job, run, row.checkpoint());
+        }
+    }
+
+    private static void saveCheckpoint(WorkJob job, AssignedRun run, String checkpoint) {
+        for (TaskKey key : DispatchState.membersOf(job, run.task())) {
+            TaskRecord task = job.task(key);
+            if (task != null && task.run() == run.number()) {
+                job.put(key, task.saved(checkpoint));
+            }
+        }
+    }
+
+    /** Ends everything that may exist on the upstream of an agent. */
+    void endAll(AgentView agent, RunEnd end) {
+        for (AssignedRun run : List.copyOf(agent.runs().values())) {
+            endRun(agent, run, end, "");
+        }
+    }
+
+    private void endRun(AgentView agent, AssignedRun run, RunEnd end, String checkpoint) {
+        agent.runs().remove(run.task().toString());
+        EventLog.event("run-ended")
+                .field("task", run.task())
+                .field("run", run.number())
+                .field("agent", agent.name())
+                .field("boot", run.boot())
+                .field("end", end.text())
+                .field("seen", run.seen())
+                .field("epoch", state.epoch())
+                .info();
+        state.metrics().count("tasks.ends." + end.text());
+        WorkJob job = state.jobs().get(run.task().job());
+        if (job == null || job.task(run.task()) == null) {
+            return;
+        }
+        if (!checkpoint.isEmpty()) {
+            saveCheckpoint(job, run, checkpoint);
+        }
+        boolean gang = DispatchState.stepOf(job, run.task()).gang();
+        if (gang && end == RunEnd.DONE) {
+            gangDone(job, run);
+        } else {
+            boolean counted = gang && end == RunEnd.FAILED && !failedGangRuns.add(gangRun(run));
+            apply(job, run.task(), counted ? RunEnd.BROKEN : end);
+        }
+        conclude(job);
+        state.changed(job);
+    }
+
+    private static String gangRun(AssignedRun run) {
+        TaskKey task = run.task();
+        return task.job() + '.' + task.occurrence() + '.' + task.step() + '#' + run.number();
+    }
+
+    /** One end of a gang that is done stands for all its members. */
+    private void gangDone(WorkJob job, AssignedRun run) {
+        for (TaskKey key : DispatchState.membersOf(job, run.task())) {
+            TaskRecord task = job.task(key);
+            if (task != null && task.run() == run.number()) {
+                job.put(key, new TaskRecord(TaskPhase.DONE, task.run(), null, task.failures(), ""));
+                state.agents().values().forEach(a -> a.runs().remove(key.toString()));
+            }
+        }
+    }
+
+    private static void apply(WorkJob job, TaskKey key, RunEnd end) {
+        job.put(key, job.task(key).ended(end, ""));
+    }
+
+    /** Ends the job if nothing is left to do or its attempts are used up. */
+    private void conclude(WorkJob job) {
+        if (job.phase().ended()) {
+            return;
+        }
+        if (job.allDone()) {
+            end(job, JobPhase.SUCCEEDED);
+        } else if (attemptsUsedUp(job)) {
+            end(job, JobPhase.FAILED);
+        }
+    }
+
+    /** Ends a job and stops what still runs of it. */
+    void end(WorkJob job, JobPhase phase) {
+        long now = state.dateMillis();
+        job.end(phase, now);
+        EventLog.event("job-ended")
+                .field("job", job.submission().id())
+                .field("queue", job.submission().queue())
+                .field("phase", phase.text())
+                .field("epoch", state.epoch())
+                .field("millis", now - job.submission().acceptedAtMillis())
+                .info();
+        state.metrics().count("tasks.jobs-" + phase.text());
+        for (AgentView agent : state.agents().values()) {
+            for (AssignedRun run : agent.runs().values()) {
+                if (run.task().job().equals(job.submission().id())) {
+                    run.requestStop();
+                }
+            }
+            orders.answerIfNeeded(agent);
+        }
+    }
+
+    private boolean attemptsUsedUp(WorkJob job) {
+        int attempts =
+                state.fleet()
+                        .configuration()
+                        .queue(job.submission().queue())
+                        .map(QueuePolicy::attempts)
+                        .orElse(Integer.MAX_VALUE);
+        List<StepSpec> steps = job.submission().work().steps();
+        for (int k : job.dueOccurrences(state.dateMillis())) {
+            for (int s = 0; s < steps.size(); s++) {
+                if (!steps.get(s).endless() && failures(job, k, s) >= attempts) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Returns the most failures of a task of a step, or those of its gang. */
+    private static int failures(WorkJob job, int occurrence, int step) {
+        boolean gang = job.submission().work().steps().get(step).gang();
+        int most = 0;
+        int sum = 0;
+        for (TaskRecord task : job.tasks(occurrence, step)) {
+            most = Math.max(most, task.failures());
+            sum += task.failures();
+        }
+        return gang ? sum : most;
+    }
+}
