Keep task records as lists, which can be read back

Cause: records left out zeros, and the reader refuses numbers that are missing, so a new dispatcher skipped every job with a started task.

--- a/fescueloom-core/src/main/java/org/fescueloom/work/TaskRecord.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/work/TaskRecord.java
@@ -1,18 +1,22 @@
 package org.fescueloom.work;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import java.util.Objects;
 
 /**
  * Tells what became of one task; immutable, and the form in which it is kept.
  *
+ * <p>Kept as a list of its parts in this order, because a wide job has many of them.
+ *
  * @param phase where the task stands, not null
  * @param run the number of its latest run; 0 before the first
  * @param placement where that run may exist; null unless the phase is {@code ASSIGNED}
  * @param failures how many runs have failed
  * @param checkpoint the newest checkpoint; empty if there is none
  */
-@JsonInclude(JsonInclude.Include.NON_DEFAULT)
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+@JsonPropertyOrder({"phase", "run", "placement", "failures", "checkpoint"})
 public record TaskRecord(
         TaskPhase phase, int run, Placement placement, int failures, String checkpoint) {
     /** A task that was never started. */
--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -0,0 +1,173 @@
+package org.fescueloom.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fescueloom.work.Resources;
+import org.fescueloom.work.StepSpec;
+import org.fescueloom.work.WorkSamples;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TaskSchedulerTest {
+    private static final Resources GPU = new Resources(1_000, 100, 1);
+    private static final Resources NODE = new Resources(32_000, 10_000, 8);
+
+    private static UpstreamRoom room(String agent, String rack, Resources free) {
+        return new UpstreamRoom(agent, "s", rack, Set.of("a", rack), free, free, 1.0);
+    }
+
+    private static WaitingUnit unit(String job, int priority, StepSpec spec) {
+        return unit(job, priority, spec, 0);
+    }
+
+    private static WaitingUnit unit(String job, int priority, StepSpec spec, long waited) {
+        List<Integer> indexes = IntStream.range(0, spec.count()).boxed().toList();
+        return new WaitingUnit(
+                job, 0, 0, indexes, spec, "s", "c", priority, 1_000, waited, Map.of());
+    }
+
+    @Nested
+    class Gangs {
+        @Test
+        void startWholeOrNotAtAll() {
+            StepSpec gang = WorkSamples.gang(3, GPU.times(4));
+            List<UpstreamRoom> one = List.of(room("x", "r1", NODE));
+
+            SchedulePlan plan = TaskScheduler.plan(List.of(unit("j", 1, gang)), List.of(), one);
+
+            assertThat(plan.starts()).isEmpty();
+        }
+
+        @Test
+        void stayInOneRackWhileTheyArePatient() {
+            StepSpec gang = WorkSamples.gang(2, GPU.times(8));
+            List<UpstreamRoom> rooms =
+                    List.of(room("x", "r1", NODE), room("y", "r2", NODE), room("z", "r2", NODE));
+
+            SchedulePlan plan = TaskScheduler.plan(List.of(unit("j", 1, gang)), List.of(), rooms);
+
+            assertThat(plan.starts().get(0).agents().values()).containsExactlyInAnyOrder("y", "z");
+        }
+
+        @Test
+        void crossRacksOnlyAfterWaitingAsLongAsTheyRun() {
+            StepSpec gang = WorkSamples.gang(2, GPU.times(8));
+            List<UpstreamRoom> rooms = List.of(room("x", "r1", NODE), room("y", "r2", NODE));
+
+            assertThat(
+                            TaskScheduler.plan(List.of(unit("j", 1, gang, 0)), List.of(), rooms)
+                                    .starts())
+                    .isEmpty();
+            assertThat(
+                            TaskScheduler.plan(List.of(unit("j", 1, gang, 1_000)), List.of(), rooms)
+                                    .starts())
+                    .hasSize(1);
+        }
+    }
+
+    @Nested
+    class Urgent {
+        private final StepSpec gang = WorkSamples.gang(2, GPU.times(8));
+        private final List<UpstreamRoom> full =
+                List.of(
+                        room("x", "r1", new Resources(0, 0, 0)),
+                        room("y", "r1", new Resources(0, 0, 0)));
+
+        private RunningUnit running(String id, int priority, String agent, double loss) {
+            return new RunningUnit(id, "c", priority, Map.of(agent, NODE), loss);
+        }
+
+        @Test
+        void stopWhatIsLessUrgent() {
+            List<RunningUnit> running = List.of(running("a", 1, "x", 5), running("b", 2, "y", 5));
+
+            SchedulePlan plan = TaskScheduler.plan(List.of(unit("j", 0, gang)), running, full);
+
+            assertThat(plan.starts()).isEmpty();
+            assertThat(plan.stops()).containsExactlyInAnyOrderElementsOf(running);
+        }
+
+        @Test
+        void leaveWhatIsAsUrgent() {
+            List<RunningUnit> running = List.of(running("a", 0, "x", 5), running("b", 2, "y", 5));
+
+            SchedulePlan plan = TaskScheduler.plan(List.of(unit("j", 0, gang)), running, full);
+
+            assertThat(plan.stops()).isEmpty();
+        }
+
+        @Test
+        void takeNoMoreRoomThanTheyNeed() {
+            StepSpec single = WorkSamples.gang(1, GPU.times(8));
+            List<RunningUnit> running =
+                    List.of(running("cheap", 2, "x", 1), running("dear", 2, "y", 100));
+
+            SchedulePlan plan = TaskScheduler.plan(List.of(unit("j", 0, single)), running, full);
+
+            assertThat(plan.stops()).extracting(RunningUnit::id).containsExactly("cheap");
+        }
+
+        @Test
+        void keepThePromisedRoomFromOthers() {
+            List<UpstreamRoom> promised =
+                    List.of(
+                            new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1),
+                            new UpstreamRoom("y", "s", "r1", Set.of(), Resources.NONE, NODE, 1));
+            StepSpec other = WorkSamples.step(1, GPU);
+
+            SchedulePlan plan =
+                    TaskScheduler.plan(
+                            List.of(unit("urgent", 0, gang), unit("late", 2, other)),
+                            List.of(),
+                            promised);
+
+            assertThat(plan.starts()).isEmpty();
+            assertThat(plan.stops()).isEmpty();
+        }
+    }
+
+    @Nested
+    class Room {
+        /** Whatever waits, no upstream is given more than it has. */
+        @Property(tries = 300, seed = "23")
+        void isNeverOverdrawn(@ForAll long seed) {
+            Random random = new Random(seed);
+            List<UpstreamRoom> rooms = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                rooms.add(room("u" + i, "r" + i / 3, NODE));
+            }
+            List<WaitingUnit> waiting = new ArrayList<>();
+            for (int i = 0; i < 12; i++) {
+                Resources need = GPU.times(1 + random.nextInt(8));
+                int count = 1 + random.nextInt(5);
+                StepSpec spec =
+                        random.nextBoolean()
+                                ? WorkSamples.gang(count, need)
+                                : WorkSamples.step(count, need);
+                waiting.add(unit("j" + i, random.nextInt(3), spec, random.nextInt(3_000)));
+            }
+
+            SchedulePlan plan = TaskScheduler.plan(waiting, List.of(), rooms);
+
+            Map<String, Resources> used = new HashMap<>();
+            for (Assignment start : plan.starts()) {
+                if (start.unit().spec().gang()) {
+                    assertThat(start.agents()).hasSize(start.unit().spec().count());
+                }
+                start.agents()
+                        .values()
+                        .forEach(a -> used.merge(a, start.unit().spec().room(), Resources::plus));
+            }
+            used.values().forEach(sum -> assertThat(sum.fitsIn(NODE)).isTrue());
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/work/WorkJobTest.java
@@ -0,0 +1,111 @@
+package org.fescueloom.work;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fescueloom.json.Json;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class WorkJobTest {
+    private static final Resources SMALL = new Resources(100, 10, 0);
+    private static final Placement HERE = new Placement("agent-1", "i-1@5");
+
+    private static WorkJob twoSteps() {
+        return new WorkJob(
+                WorkSamples.job("j", WorkSamples.step(2, SMALL), WorkSamples.step(1, SMALL, 0)));
+    }
+
+    private static void finish(WorkJob job, TaskKey key) {
+        TaskRecord task = job.task(key);
+        job.put(key, task.assigned(task.run() + 1, HERE).ended(RunEnd.DONE, ""));
+    }
+
+    @Nested
+    class Order {
+        @Test
+        void aStepWaitsForAllTasksOfTheStepsBefore() {
+            WorkJob job = twoSteps();
+
+            finish(job, new TaskKey("j", 0, 0, 0));
+            assertThat(job.ready(0, 1)).isFalse();
+            finish(job, new TaskKey("j", 0, 0, 1));
+            assertThat(job.ready(0, 1)).isTrue();
+        }
+
+        @Test
+        void theJobIsDoneWithItsLastTask() {
+            WorkJob job = twoSteps();
+
+            finish(job, new TaskKey("j", 0, 0, 0));
+            finish(job, new TaskKey("j", 0, 0, 1));
+            assertThat(job.allDone()).isFalse();
+            finish(job, new TaskKey("j", 0, 1, 0));
+            assertThat(job.allDone()).isTrue();
+        }
+    }
+
+    @Nested
+    class Occurrences {
+        private final WorkSpec work =
+                new WorkSpec("p", List.of(WorkSamples.step(1, SMALL)), 5_000, 1_000, 3);
+        private final WorkJob job = new WorkJob(new Submission("j", "q", "c", "s", 1_000, work));
+
+        @Test
+        void areDueAtTheirTimes() {
+            assertThat(job.dueOccurrences(4_999)).isEmpty();
+            assertThat(job.nextDueMillis(4_999)).isEqualTo(5_000);
+            assertThat(job.dueOccurrences(6_000)).containsExactly(0, 1);
+            assertThat(job.nextDueMillis(6_000)).isEqualTo(7_000);
+        }
+
+        @Test
+        void endTheJobOnceAllAreDone() {
+            for (int k = 0; k < 3; k++) {
+                assertThat(job.allDone()).isFalse();
+                finish(job, new TaskKey("j", k, 0, 0));
+            }
+            assertThat(job.allDone()).isTrue();
+            assertThat(job.dueOccurrences(9_000)).isEmpty();
+        }
+    }
+
+    @Nested
+    class Form {
+        /** Drives a job by random ends and compares it with what is read back. */
+        @Property(tries = 200, seed = "17")
+        void isRestoredAsItWasKept(@ForAll long seed) {
+            Random random = new Random(seed);
+            WorkJob job = twoSteps();
+            List<TaskKey> keys = new ArrayList<>();
+            keys.add(new TaskKey("j", 0, 0, 0));
+            keys.add(new TaskKey("j", 0, 0, 1));
+            keys.add(new TaskKey("j", 0, 1, 0));
+            for (int i = 0; i < 20; i++) {
+                TaskKey key = keys.get(random.nextInt(keys.size()));
+                TaskRecord task = job.task(key);
+                if (task == null) {
+                    continue;
+                }
+                if (task.phase() == TaskPhase.WAITING) {
+                    job.put(key, task.assigned(task.run() + 1, HERE));
+                } else {
+                    RunEnd end = RunEnd.values()[random.nextInt(RunEnd.values().length)];
+                    job.put(key, task.ended(end, "c" + i));
+                }
+                job.allDone();
+            }
+
+            byte[] kept = Json.write(job.progress());
+            WorkJob back = WorkJob.restore(job.submission(), Json.read(kept, JobProgress.class));
+
+            assertThat(back.progress()).isEqualTo(job.progress());
+            assertThat(back.view()).isEqualTo(job.view());
+            assertThat(back.assigned()).isEqualTo(job.assigned());
+        }
+    }
+}
