--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -66,12 +66,12 @@
             DispatchTerms terms,
             KeyedLog log,
             ScheduledExecutorService loop,
+            StoreContact contact,
             Supplier<FleetView> fleet,
             Supplier<List<String>> entries,
             Metrics metrics,
             Runnable deposed) {
         this.loop = loop;
-        StoreContact contact = StoreContact.onSystemClocks();
         contact.confirm(start.claimed());
         DurableWriter writer =
                 new DurableWriter(
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -520,6 +520,7 @@
                         terms,
                         log,
                         loop,
+                        StoreContact.onSystemClocks(),
                         fleet,
                         () -> List.copyOf(entries),
                         metrics,
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -0,0 +1,434 @@
+package org.fescueloom.daemon.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
+import org.fescueloom.failure.Outcome;
+import org.fescueloom.fleet.FleetConfiguration;
+import org.fescueloom.fleet.QueuePolicy;
+import org.fescueloom.fleet.UpstreamNotice;
+import org.fescueloom.fleet.UpstreamState;
+import org.fescueloom.work.JobView;
+import org.fescueloom.work.Resources;
+import org.fescueloom.work.RunEnd;
+import org.fescueloom.work.StepSpec;
+import org.fescueloom.work.Submission;
+import org.fescueloom.work.WorkSpec;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DispatcherTest {
+    private static final DispatchTerms TERMS = new DispatchTerms(7_000, 6_000, 1_800, 60_000, 400);
+    private static final QueuePolicy QUEUE =
+            new QueuePolicy("queue", "host", "/q/", "service", 1, 2, 3.0, 1_000, false);
+    private static final FleetConfiguration CONFIGURATION =
+            new FleetConfiguration(1, List.of(QUEUE), List.of());
+    private static final Resources ONE = new Resources(1_000, 100, 1);
+
+    private final MemoryKeyedLog log = new MemoryKeyedLog();
+    private final ManualLoop loop = new ManualLoop();
+    private FleetView fleet = new FleetView(CONFIGURATION, Set.of(), 0);
+    private boolean deposed;
+
+    private Dispatcher claim() {
+        ClaimAttempt attempt =
+                new ClaimAttempt(log, new DispatchClaim("here", "p"), loop.contact());
+        Dispatcher.Start start = attempt.run(0).join();
+        Dispatcher dispatcher =
+                new Dispatcher(
+                        start,
+                        TERMS,
+                        log,
+                        loop,
+                        loop.contact(),
+                        () -> fleet,
+                        () -> List.of("here"),
+                        new Metrics(),
+                        () -> deposed = true);
+        dispatcher.start();
+        return dispatcher;
+    }
+
+    private static Submission job(String id, int tasks, boolean gang) {
+        StepSpec step =
+                new StepSpec(
+                        tasks, ONE, 1_000, List.of(), gang, gang, "", "", 0, true, false, false, "",
+                        0, false, 0);
+        WorkSpec work = new WorkSpec("payload", List.of(step), 0, 0, 1);
+        return new Submission(id, "queue", "customer", "service", 0, work);
+    }
+
+    /** Plays one agent with an upstream that does as it is told. */
+    private final class Agent {
+        private final String name;
+        private String instance = "i-1";
+        private long born = 1;
+        private long sequence;
+        private long accelerators = 8;
+        private List<RunRow> running = new ArrayList<>();
+        private List<EndRow> ended = new ArrayList<>();
+        private List<StopOrder> barred = new ArrayList<>();
+
+        Agent(String name) {
+            this.name = name;
+        }
+
+        CompletableFuture<AgentOrders> report(Dispatcher to) {
+            UpstreamNotice notice =
+                    new UpstreamNotice(
+                            instance,
+                            born,
+                            "service",
+                            "zone",
+                            UpstreamState.READY,
+                            new Resources(32_000, 100_000, accelerators),
+                            List.of("a", "r1"),
+                            "r1",
+                            0,
+                            sequence);
+            AgentReport report =
+                    new AgentReport(
+                            name, "p", ++sequence, 0, notice, true, 0, running, ended, barred);
+            return to.report(report);
+        }
+
+        /** Reports, waits for orders and starts what they tell to start. */
+        AgentOrders exchange(Dispatcher to) {
+            CompletableFuture<AgentOrders> reply = report(to);
+            loop.advance(1_200);
+            AgentOrders orders = reply.join();
+            for (StartOrder start : orders.starts()) {
+                running.add(new RunRow(start.task(), start.run(), "", 100, 0));
+            }
+            return orders;
+        }
+
+        void end(RunEnd how) {
+            RunRow row = running.remove(0);
+            ended.add(new EndRow(ended.size() + 1, row.task(), row.run(), how, ""));
+        }
+    }
+
+    private void accept(Dispatcher dispatcher, Submission submission) {
+        CompletableFuture<Void> accepted = dispatcher.submit(submission, 2_000);
+        loop.advance(50);
+        assertThat(accepted).isCompleted();
+    }
+
+    @Nested
+    class Accepting {
+        @Test
+        void waitsForTheRecord() {
+            Dispatcher dispatcher = claim();
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+
+            CompletableFuture<Void> accepted = dispatcher.submit(job("j", 1, false), 2_000);
+            loop.advance(500);
+            assertThat(accepted).isNotDone();
+            assertThat(dispatcher.view("j")).isEqualTo(JobView.UNKNOWN);
+
+            log.onAppend(MemoryKeyedLog.Fault.NONE);
+            loop.advance(500);
+            assertThat(accepted).isCompleted();
+            assertThat(dispatcher.view("j")).isEqualTo(JobView.QUEUED);
+        }
+
+        @Test
+        void neverSaysNotRunOfAJobThatMayBeStored() {
+            Dispatcher dispatcher = claim();
+            log.onAppend(MemoryKeyedLog.Fault.LATE);
+
+            CompletableFuture<Void> accepted = dispatcher.submit(job("j", 1, false), 1_000);
+            loop.advance(1_100);
+
+            assertThat(accepted).isCompletedExceptionally();
+            Throwable error = accepted.handle((v, e) -> e).join();
+            assertThat(Failures.typeOf(error).outcome()).isEqualTo(Outcome.UNKNOWN);
+        }
+
+        @Test
+        void withdrawsAJobThatWasNotSentAndNeverRunsIt() {
+            Dispatcher dispatcher = claim();
+            log.onAppend(MemoryKeyedLog.Fault.LATE);
+            dispatcher.submit(job("first", 1, false), 5_000);
+            loop.advance(10);
+
+            CompletableFuture<Void> second = dispatcher.submit(job("second", 1, false), 300);
+            loop.advance(400);
+            Throwable error = second.handle((v, e) -> e).join();
+            assertThat(Failures.typeOf(error)).isEqualTo(FailureType.LOG_UNAVAILABLE);
+
+            log.onAppend(MemoryKeyedLog.Fault.NONE);
+            loop.advance(2_000);
+            assertThat(dispatcher.view("first")).isEqualTo(JobView.QUEUED);
+            assertThat(dispatcher.view("second")).isEqualTo(JobView.UNKNOWN);
+        }
+
+        @Test
+        void refusesAtOnceWhileTheLogIsDown() {
+            Dispatcher dispatcher = claim();
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+            dispatcher.submit(job("first", 1, false), 5_000);
+            loop.advance(1_000);
+
+            CompletableFuture<Void> second = dispatcher.submit(job("second", 1, false), 2_000);
+
+            assertThat(second).isCompletedExceptionally();
+        }
+
+        @Test
+        void takesARepeatAsTheSameJob() {
+            Dispatcher dispatcher = claim();
+            accept(dispatcher, job("j", 1, false));
+
+            accept(dispatcher, job("j", 1, false));
+
+            long submissions =
+                    log.records(JobStore.TOPIC).stream()
+                            .filter(r -> r.key().equals(JobStore.submissionKey("j")))
+                            .count();
+            assertThat(submissions).isEqualTo(1);
+        }
+    }
+
+    @Nested
+    class Starting {
+        @Test
+        void tellsAnAgentOnlyWhatIsStored() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            agent.exchange(dispatcher);
+            accept(dispatcher, job("j", 1, false));
+            CompletableFuture<AgentOrders> reply = agent.report(dispatcher);
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+            accept2(dispatcher);
+            loop.advance(300);
+            assertThat(ordersOf(reply)).noneMatch(task -> task.startsWith("j2."));
+        }
+
+        private void accept2(Dispatcher dispatcher) {
+            dispatcher.submit(job("j2", 1, false), 5_000);
+        }
+
+        private List<String> ordersOf(CompletableFuture<AgentOrders> reply) {
+            return reply.isDone()
+                    ? reply.join().starts().stream().map(StartOrder::task).toList()
+                    : List.of();
+        }
+
+        @Test
+        void repeatsAnOrderWhoseAnswerWasLost() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            accept(dispatcher, job("j", 1, false));
+            AgentOrders first = agent.exchange(dispatcher);
+            agent.running.clear();
+
+            AgentOrders again = agent.exchange(dispatcher);
+
+            assertThat(first.starts()).hasSize(1);
+            assertThat(again.starts()).isEqualTo(first.starts());
+        }
+
+        @Test
+        void startsNothingInAZoneThatIsOut() {
+            Dispatcher dispatcher = claim();
+            fleet = new FleetView(CONFIGURATION, Set.of("zone"), 1);
+            Agent agent = new Agent("a");
+            accept(dispatcher, job("j", 1, false));
+
+            assertThat(agent.exchange(dispatcher).starts()).isEmpty();
+            assertThat(dispatcher.view("j")).isEqualTo(JobView.QUEUED);
+        }
+    }
+
+    @Nested
+    class Ending {
+        @Test
+        void acknowledgesAnEndOnlyOnceItIsStored() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            accept(dispatcher, job("j", 1, false));
+            agent.exchange(dispatcher);
+            agent.end(RunEnd.DONE);
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+
+            assertThat(agent.exchange(dispatcher).acknowledged()).isZero();
+            assertThat(dispatcher.view("j")).isEqualTo(JobView.RUNNING);
+
+            log.onAppend(MemoryKeyedLog.Fault.NONE);
+            assertThat(agent.exchange(dispatcher).acknowledged()).isEqualTo(1);
+            assertThat(dispatcher.view("j")).isEqualTo(JobView.SUCCEEDED);
+        }
+
+        @Test
+        void givesUpAfterTheAttemptsOfTheQueue() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            accept(dispatcher, job("j", 1, false));
+            agent.exchange(dispatcher);
+            agent.end(RunEnd.FAILED);
+            agent.exchange(dispatcher);
+            agent.exchange(dispatcher);
+            assertThat(dispatcher.view("j")).isEqualTo(JobView.RUNNING);
+            agent.end(RunEnd.FAILED);
+            agent.exchange(dispatcher);
+
+            assertThat(dispatcher.view("j")).isEqualTo(JobView.FAILED);
+        }
+
+        @Test
+        void oneDoneMemberStandsForItsGang() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            accept(dispatcher, job("j", 3, true));
+            agent.exchange(dispatcher);
+            assertThat(agent.running).hasSize(3);
+            agent.end(RunEnd.DONE);
+            agent.exchange(dispatcher);
+
+            assertThat(dispatcher.view("j")).isEqualTo(JobView.SUCCEEDED);
+        }
+
+        @Test
+        void aGangRunsAgainOnlyWhenAllMembersHaveEnded() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            accept(dispatcher, job("j", 2, true));
+            agent.exchange(dispatcher);
+            agent.end(RunEnd.FAILED);
+            assertThat(agent.exchange(dispatcher).starts()).isEmpty();
+            agent.end(RunEnd.BROKEN);
+            agent.exchange(dispatcher);
+            AgentOrders again = agent.exchange(dispatcher);
+
+            assertThat(agent.running).hasSize(2);
+            assertThat(agent.running).allMatch(row -> row.run() == 2);
+            assertThat(again.stops()).isEmpty();
+        }
+    }
+
+    @Nested
+    class TakingOver {
+        @Test
+        void keepsRunsWhereTheyAre() {
+            Dispatcher first = claim();
+            Agent agent = new Agent("a");
+            accept(first, job("j", 2, true));
+            agent.exchange(first);
+
+            Dispatcher second = claim();
+            AgentOrders orders = agent.exchange(second);
+
+            assertThat(second.view("j")).isEqualTo(JobView.RUNNING);
+            assertThat(orders.starts()).isEmpty();
+            assertThat(orders.stops()).isEmpty();
+        }
+
+        @Test
+        void stopsTheOneBefore() {
+            Dispatcher first = claim();
+            claim();
+            CompletableFuture<Void> accepted = first.submit(job("j", 1, false), 2_000);
+            loop.advance(2_100);
+
+            assertThat(deposed).isTrue();
+            assertThat(accepted).isCompletedExceptionally();
+        }
+
+        @Test
+        void startsNothingAgainWhileALeaseMayLast() {
+            Dispatcher first = claim();
+            Agent silent = new Agent("a");
+            accept(first, job("j", 1, false));
+            silent.exchange(first);
+
+            Dispatcher second = claim();
+            Agent other = new Agent("b");
+            other.instance = "i-2";
+            long until = TERMS.storeProofMillis() + TERMS.surelyLapsedMillis();
+            for (long waited = 0; waited + 1_300 < until; waited += 1_200) {
+                assertThat(other.exchange(second).starts()).isEmpty();
+            }
+            loop.advance(2_000);
+            other.exchange(second);
+            other.exchange(second);
+
+            assertThat(other.running).extracting(RunRow::run).containsExactly(2);
+        }
+
+        @Test
+        void learnsAJobWhoseAnswerWasLost() {
+            Dispatcher first = claim();
+            log.onAppend(MemoryKeyedLog.Fault.ANSWER_LOST);
+            first.submit(job("j", 1, false), 2_000);
+            loop.advance(10);
+            log.onAppend(MemoryKeyedLog.Fault.NONE);
+
+            Dispatcher second = claim();
+
+            assertThat(second.view("j")).isEqualTo(JobView.QUEUED);
+        }
+    }
+
+    @Nested
+    class Leases {
+        @Test
+        void areNotGrantedWithoutProofOfTheClaim() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            assertThat(agent.exchange(dispatcher).leaseMillis()).isEqualTo(TERMS.leaseMillis());
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+            log.onRead(MemoryKeyedLog.Fault.REFUSED);
+            loop.advance(TERMS.storeProofMillis());
+
+            assertThat(agent.exchange(dispatcher).leaseMillis()).isZero();
+        }
+
+        @Test
+        void areNotGrantedAfterASuspensionUntilTheLogWasAsked() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            agent.exchange(dispatcher);
+            log.onRead(MemoryKeyedLog.Fault.REFUSED);
+            loop.shiftDate(10_000);
+
+            assertThat(agent.exchange(dispatcher).leaseMillis()).isZero();
+        }
+
+        @Test
+        void endRunsOfAnAgentThatIsSilentForTheirTime() {
+            Dispatcher dispatcher = claim();
+            Agent silent = new Agent("a");
+            accept(dispatcher, job("j", 1, false));
+            silent.exchange(dispatcher);
+            Agent other = new Agent("b");
+            other.instance = "i-2";
+            loop.advance(TERMS.surelyLapsedMillis());
+            other.exchange(dispatcher);
+            other.exchange(dispatcher);
+
+            assertThat(other.running).extracting(RunRow::run).containsExactly(2);
+        }
+
+        @Test
+        void areOverWithTheLifeOfTheUpstream() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            accept(dispatcher, job("j", 1, false));
+            agent.exchange(dispatcher);
+            agent.born = 2;
+            agent.running.clear();
+            agent.exchange(dispatcher);
+            agent.exchange(dispatcher);
+
+            assertThat(agent.running).extracting(RunRow::run).containsExactly(2);
+        }
+    }
+}
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/ManualLoop.java
@@ -0,0 +1,136 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Delayed;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Runs tasks on the thread of the test, by a clock that only the test moves. */
+final class ManualLoop extends AbstractExecutorService implements ScheduledExecutorService {
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(
+                    Comparator.comparingLong((Task t) -> t.atMillis)
+                            .thenComparingLong(t -> t.number));
+    private long nowMillis = 100_000;
+    private long dateOffsetMillis = 1_000_000;
+    private long number;
+
+    private final class Task extends FutureTask<Object> implements ScheduledFuture<Object> {
+        private final long atMillis;
+        private final long number;
+
+        Task(Runnable work, long atMillis, long number) {
+            super(work, null);
+            this.atMillis = atMillis;
+            this.number = number;
+        }
+
+        @Override
+        public long getDelay(TimeUnit unit) {
+            return unit.convert(atMillis - nowMillis, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public int compareTo(Delayed other) {
+            return Long.compare(
+                    getDelay(TimeUnit.MILLISECONDS), other.getDelay(TimeUnit.MILLISECONDS));
+        }
+    }
+
+    /** Returns a contact with the log by the clocks of this loop. */
+    StoreContact contact() {
+        return new StoreContact(() -> nowMillis, () -> nowMillis + dateOffsetMillis);
+    }
+
+    /** Moves the date without the steady clock, as a suspension or a step does. */
+    void shiftDate(long millis) {
+        dateOffsetMillis += millis;
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    /** Runs everything that is due within a time, in order. */
+    void advance(long millis) {
+        long until = nowMillis + millis;
+        while (!tasks.isEmpty() && tasks.peek().atMillis <= until) {
+            Task task = tasks.poll();
+            nowMillis = Math.max(nowMillis, task.atMillis);
+            task.run();
+            rethrow(task);
+        }
+        nowMillis = until;
+    }
+
+    private static void rethrow(Task task) {
+        try {
+            if (!task.isCancelled()) {
+                task.get();
+            }
+        } catch (Exception e) {
+            throw new IllegalStateException("a task of the loop failed", e);
+        }
+    }
+
+    @Override
+    public void execute(Runnable command) {
+        schedule(command, 0, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public ScheduledFuture<?> schedule(Runnable command, long delay, TimeUnit unit) {
+        Task task = new Task(command, nowMillis + unit.toMillis(delay), number++);
+        tasks.add(task);
+        return task;
+    }
+
+    @Override
+    public <V> ScheduledFuture<V> schedule(Callable<V> callable, long delay, TimeUnit unit) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public ScheduledFuture<?> scheduleAtFixedRate(
+            Runnable command, long initialDelay, long period, TimeUnit unit) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public ScheduledFuture<?> scheduleWithFixedDelay(
+            Runnable command, long initialDelay, long delay, TimeUnit unit) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void shutdown() {
+        tasks.clear();
+    }
+
+    @Override
+    public List<Runnable> shutdownNow() {
+        tasks.clear();
+        return List.of();
+    }
+
+    @Override
+    public boolean isShutdown() {
+        return false;
+    }
+
+    @Override
+    public boolean isTerminated() {
+        return false;
+    }
+
+    @Override
+    public boolean awaitTermination(long timeout, TimeUnit unit) {
+        return true;
+    }
+}
