--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
@@ -102,6 +102,15 @@
         loop.execute(this::findDispatcher);
     }
 
+    /**
+     * Adds places where entries may be reached.
+     *
+     * @param seeds the addresses, not null
+     */
+    public void addSeeds(List<String> seeds) {
+        loop.execute(() -> entries.addAll(seeds));
+    }
+
     /** Ends all calls; what runs on the upstream goes on under its lease. */
     public void close() {
         closed = true;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -151,6 +151,15 @@
                 });
     }
 
+    /**
+     * Adds places where entries may be reached.
+     *
+     * @param seeds the addresses, not null
+     */
+    public void addSeeds(List<String> seeds) {
+        loop.execute(() -> entries.addAll(seeds));
+    }
+
     /** Ends all calls. */
     public void close() {
         http.close();
