Learn the speed and trust of upstreams, and move runs that stand still

Change: runs on upstreams that fail, hang, crawl or leave are moved; pressing jobs get the fast upstreams, others leave those free; room counts as taken until the end of a run is listed, also for members of a gang that is done.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/RoomLedger.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/RoomLedger.java
@@ -55,6 +55,11 @@
         return found;
     }
 
+    /** Returns the upstream of an agent. */
+    UpstreamRoom upstream(String agent) {
+        return rooms.get(agent);
+    }
+
     /** Returns the room of an agent's upstream. */
     Resources room(String agent, Sight sight) {
         return (sight == Sight.FREE ? free : promised).getOrDefault(agent, Resources.NONE);
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/TaskScheduler.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/TaskScheduler.java
@@ -92,17 +92,6 @@
     private static WaitingUnit without(WaitingUnit unit, Map<Integer, String> started) {
         List<Integer> rest = new ArrayList<>(unit.indexes());
         rest.removeAll(started.keySet());
-        return new WaitingUnit(
-                unit.job(),
-                unit.occurrence(),
-                unit.step(),
-                rest,
-                unit.spec(),
-                unit.service(),
-                unit.customer(),
-                unit.priority(),
-                unit.objectiveMillis(),
-                unit.waitedMillis(),
-                unit.perUpstream());
+        return unit.withIndexes(rest);
     }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
@@ -16,6 +16,15 @@
     /** A unit may leave its rack, and run slower, once it waited this many times its estimate. */
     static final double PATIENCE = 1.0;
 
+    /** A unit may go to a suspect upstream once it waited this many times its estimate. */
+    private static final double SUSPECT_PATIENCE = 2.0;
+
+    /** Up to this slowness a job that allows three times its work is in time. */
+    private static final double TOLERABLE_SLOWNESS = 2.0;
+
+    /** Makes the speed of a rack count before the cores that are left in it. */
+    private static final double SLOWNESS_WEIGHT = 100_000;
+
     private final RoomLedger ledger;
 
     /**
@@ -60,13 +69,14 @@
     private Optional<Map<Integer, String>> bestRack(
             WaitingUnit unit, Function<String, Resources> room) {
         Map<Integer, String> best = null;
-        double bestLeft = Double.MAX_VALUE;
+        double bestScore = Double.MAX_VALUE;
         for (String rack : ledger.racks()) {
             Map<Integer, String> found = within(unit, rack, room);
             if (!found.isEmpty()) {
-                double left = leftIn(unit.service(), rack, room);
-                if (left < bestLeft) {
-                    bestLeft = left;
+                double score =
+                        slowest(unit, found) * SLOWNESS_WEIGHT + leftIn(unit.service(), rack, room);
+                if (score < bestScore) {
+                    bestScore = score;
                     best = found;
                 }
             }
@@ -74,6 +84,15 @@
         return Optional.ofNullable(best);
     }
 
+    /** The slowest member sets the pace of a gang. */
+    private double slowest(WaitingUnit unit, Map<Integer, String> found) {
+        double slowest = 0;
+        for (String agent : found.values()) {
+            slowest = Math.max(slowest, preference(unit, ledger.upstream(agent)));
+        }
+        return slowest;
+    }
+
     private double leftIn(String service, String rack, Function<String, Resources> room) {
         double left = 0;
         for (UpstreamRoom upstream : ledger.upstreams(service, rack)) {
@@ -97,7 +116,7 @@
                     candidates.stream()
                             .filter(u -> need.fitsIn(left.get(u.agent())))
                             .filter(u -> underLimit(unit.spec(), used, u.agent()))
-                            .min(byTightness(left));
+                            .min(byPreference(unit, left));
             if (best.isEmpty()) {
                 break;
             }
@@ -114,14 +133,22 @@
         return spec.maxPerUpstream() == 0 || used.getOrDefault(agent, 0) < spec.maxPerUpstream();
     }
 
-    /** Prefers fast upstreams, and among equals the one with the least room left. */
-    private static Comparator<UpstreamRoom> byTightness(Map<String, Resources> left) {
-        return Comparator.comparingDouble((UpstreamRoom u) -> slownessClass(u.slowness()))
+    /** Prefers upstreams by speed, and among equals the one with the least room left. */
+    private static Comparator<UpstreamRoom> byPreference(
+            WaitingUnit unit, Map<String, Resources> left) {
+        return Comparator.comparingDouble((UpstreamRoom u) -> preference(unit, u))
                 .thenComparingLong(u -> left.get(u.agent()).accelerators())
                 .thenComparingLong(u -> left.get(u.agent()).cpuMillis())
                 .thenComparing(UpstreamRoom::agent);
     }
 
+    /** Ranks fast upstreams first for pressing units; others leave the fast ones to those. */
+    private static double preference(WaitingUnit unit, UpstreamRoom upstream) {
+        double slowness = slownessClass(upstream.slowness());
+        boolean tolerable = upstream.slowness() <= TOLERABLE_SLOWNESS;
+        return unit.pressing() || !tolerable ? slowness : -slowness;
+    }
+
     /** Rounds to steps of a half, so that small differences do not scatter the tasks. */
     private static double slownessClass(double slowness) {
         return Math.rint(slowness * 2);
@@ -130,11 +157,17 @@
     private List<UpstreamRoom> candidates(WaitingUnit unit, String rack) {
         List<UpstreamRoom> fitting = new ArrayList<>();
         String label = unit.spec().requiredLabel();
+        boolean desperate = unit.waitedMillis() > SUSPECT_PATIENCE * unit.spec().estimateMillis();
         for (UpstreamRoom upstream : ledger.upstreams(unit.service(), rack)) {
-            if (label.isEmpty() || upstream.labels().contains(label)) {
+            boolean labelled = label.isEmpty() || upstream.labels().contains(label);
+            if (labelled && (desperate || trusted(unit, upstream))) {
                 fitting.add(upstream);
             }
         }
         return fitting;
     }
+
+    private static boolean trusted(WaitingUnit unit, UpstreamRoom upstream) {
+        return !upstream.suspect() && !unit.failedOn().contains(upstream.agent());
+    }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamRoom.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamRoom.java
@@ -14,6 +14,7 @@
  * @param free what no run takes, not null
  * @param promised what will be free once the runs that are being stopped have ended, not null
  * @param slowness its run times over the estimates; 1 where nothing is known
+ * @param suspect whether tasks should go elsewhere if they can
  */
 public record UpstreamRoom(
         String agent,
@@ -22,7 +23,8 @@
         Set<String> labels,
         Resources free,
         Resources promised,
-        double slowness) {
+        double slowness,
+        boolean suspect) {
     /** Checks the values. */
     public UpstreamRoom {
         Objects.requireNonNull(agent, "agent");
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import org.fescueloom.work.StepSpec;
 
 /**
@@ -18,6 +19,8 @@
  * @param priority the priority of its queue; 0 comes first
  * @param objectiveMillis when the job should be done, on the clock of the caller, in milliseconds
  * @param waitedMillis how long the tasks have waited, in milliseconds
+ * @param pressing whether the job allows little more time than its work takes
+ * @param failedOn the agents on which a run of the step has failed, not null
  * @param perUpstream how many tasks of the step each agent runs already, not null
  */
 public record WaitingUnit(
@@ -31,6 +34,8 @@
         int priority,
         long objectiveMillis,
         long waitedMillis,
+        boolean pressing,
+        Set<String> failedOn,
         Map<String, Integer> perUpstream) {
     /** Checks the values. */
     public WaitingUnit {
@@ -39,9 +44,33 @@
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(customer, "customer");
         indexes = List.copyOf(indexes);
+        failedOn = Set.copyOf(failedOn);
         perUpstream = Map.copyOf(perUpstream);
         if (indexes.isEmpty()) {
             throw new IllegalArgumentException("a unit needs at least one task");
         }
     }
+
+    /**
+     * Returns the same unit with fewer tasks.
+     *
+     * @param rest the tasks that are left, at least one
+     * @return the unit, never null
+     */
+    public WaitingUnit withIndexes(List<Integer> rest) {
+        return new WaitingUnit(
+                job,
+                occurrence,
+                step,
+                rest,
+                spec,
+                service,
+                customer,
+                priority,
+                objectiveMillis,
+                waitedMillis,
+                pressing,
+                failedOn,
+                perUpstream);
+    }
 }
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -22,7 +22,7 @@
     private static final Resources NODE = new Resources(32_000, 10_000, 8);
 
     private static UpstreamRoom room(String agent, String rack, Resources free) {
-        return new UpstreamRoom(agent, "s", rack, Set.of("a", rack), free, free, 1.0);
+        return new UpstreamRoom(agent, "s", rack, Set.of("a", rack), free, free, 1.0, false);
     }
 
     private static WaitingUnit unit(String job, int priority, StepSpec spec) {
@@ -32,7 +32,19 @@
     private static WaitingUnit unit(String job, int priority, StepSpec spec, long waited) {
         List<Integer> indexes = IntStream.range(0, spec.count()).boxed().toList();
         return new WaitingUnit(
-                job, 0, 0, indexes, spec, "s", "c", priority, 1_000, waited, Map.of());
+                job,
+                0,
+                0,
+                indexes,
+                spec,
+                "s",
+                "c",
+                priority,
+                1_000,
+                waited,
+                priority == 0,
+                Set.of(),
+                Map.of());
     }
 
     @Nested
@@ -120,8 +132,9 @@
         void keepThePromisedRoomFromOthers() {
             List<UpstreamRoom> promised =
                     List.of(
-                            new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1),
-                            new UpstreamRoom("y", "s", "r1", Set.of(), Resources.NONE, NODE, 1));
+                            new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1, false),
+                            new UpstreamRoom(
+                                    "y", "s", "r1", Set.of(), Resources.NONE, NODE, 1, false));
             StepSpec other = WorkSamples.step(1, GPU);
 
             SchedulePlan plan =
@@ -135,6 +148,46 @@
         }
     }
 
+    @Nested
+    class UnequalUpstreams {
+        private final StepSpec single = WorkSamples.step(1, GPU);
+        private final List<UpstreamRoom> rooms =
+                List.of(
+                        new UpstreamRoom("fast", "s", "r1", Set.of(), NODE, NODE, 0.6, false),
+                        new UpstreamRoom("slow", "s", "r1", Set.of(), NODE, NODE, 1.6, false),
+                        new UpstreamRoom("crawling", "s", "r1", Set.of(), NODE, NODE, 4.0, false));
+
+        private String placeOf(WaitingUnit unit, List<UpstreamRoom> where) {
+            return TaskScheduler.plan(List.of(unit), List.of(), where)
+                    .starts()
+                    .get(0)
+                    .agents()
+                    .get(0);
+        }
+
+        @Test
+        void fastOnesServeWhatIsPressing() {
+            assertThat(placeOf(unit("j", 0, single), rooms)).isEqualTo("fast");
+        }
+
+        @Test
+        void otherTasksLeaveTheFastOnesAlone() {
+            assertThat(placeOf(unit("j", 1, single), rooms)).isEqualTo("slow");
+        }
+
+        @Test
+        void suspectOnesAreLeftAloneUntilNothingElseIsFound() {
+            List<UpstreamRoom> suspect =
+                    List.of(new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1, true));
+
+            assertThat(
+                            TaskScheduler.plan(List.of(unit("j", 1, single)), List.of(), suspect)
+                                    .starts())
+                    .isEmpty();
+            assertThat(placeOf(unit("j", 1, single, 2_001), suspect)).isEqualTo("x");
+        }
+    }
+
     @Nested
     class Room {
         /** Whatever waits, no upstream is given more than it has. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.fescueloom.fleet.UpstreamNotice;
 import org.fescueloom.fleet.UpstreamState;
+import org.fescueloom.schedule.UpstreamHealth;
 import org.fescueloom.work.Resources;
 
 /** Holds what the dispatcher knows of one agent and of the upstream beside it. */
@@ -16,6 +17,7 @@
 
     private final String name;
     private final Map<String, AssignedRun> runs = new LinkedHashMap<>();
+    private final UpstreamHealth health = new UpstreamHealth();
     private AgentReport report;
     private long heardMillis = Long.MIN_VALUE / 2;
     private long grantedMillis;
@@ -45,6 +47,11 @@
         return runs;
     }
 
+    /** Returns what the ends of runs tell of the upstream. */
+    UpstreamHealth health() {
+        return health;
+    }
+
     AgentReport report() {
         return report;
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
@@ -10,18 +10,28 @@
     private final String boot;
     private final Resources room;
     private final long assignedMillis;
+    private final boolean fresh;
     private boolean stored;
     private boolean seen;
     private boolean stopRequested;
     private long orderedMillis = Long.MIN_VALUE / 2;
     private long seenMillis;
-
-    AssignedRun(TaskKey task, int number, String boot, Resources room, long assignedMillis) {
+    private String checkpoint = "";
+    private long progressMillis;
+
+    AssignedRun(
+            TaskKey task,
+            int number,
+            String boot,
+            Resources room,
+            long assignedMillis,
+            boolean fresh) {
         this.task = task;
         this.number = number;
         this.boot = boot;
         this.room = room;
         this.assignedMillis = assignedMillis;
+        this.fresh = fresh;
     }
 
     TaskKey task() {
@@ -44,6 +54,11 @@
         return assignedMillis;
     }
 
+    /** Tells whether the run began here without a checkpoint, so that its time can be compared. */
+    boolean fresh() {
+        return fresh;
+    }
+
     /** Tells whether the decision is stored, so that the order may be sent. */
     boolean stored() {
         return stored;
@@ -65,6 +80,19 @@
         }
     }
 
+    /** Notes a checkpoint; tells when it changed last. */
+    void markCheckpoint(String newest, long nowMillis) {
+        if (!newest.equals(checkpoint)) {
+            checkpoint = newest;
+            progressMillis = nowMillis;
+        }
+    }
+
+    /** Returns when the checkpoint of the run changed last, or the run was first seen. */
+    long progressMillis() {
+        return Math.max(seenMillis, progressMillis);
+    }
+
     long seenMillis() {
         return seenMillis;
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
@@ -127,7 +127,8 @@
                                 task.run(),
                                 task.placement().boot(),
                                 stepOf(job, key).room(),
-                                startedMillis);
+                                startedMillis,
+                                false);
                 run.markStored();
                 if (job.phase().ended()) {
                     run.requestStop();
@@ -137,6 +138,12 @@
         }
     }
 
+    /** Names what ends together with a task. */
+    String groupOf(TaskKey task) {
+        WorkJob job = jobs.get(task.job());
+        return job == null ? task.toString() : RoundInput.groupOf(task, stepOf(job, task));
+    }
+
     /** Returns the step of a task. */
     static StepSpec stepOf(WorkJob job, TaskKey task) {
         return job.submission().work().steps().get(task.step());
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -22,7 +22,6 @@
 import org.fescueloom.work.JobView;
 import org.fescueloom.work.Placement;
 import org.fescueloom.work.RunEnd;
-import org.fescueloom.work.StepSpec;
 import org.fescueloom.work.Submission;
 import org.fescueloom.work.TaskKey;
 import org.fescueloom.work.TaskRecord;
@@ -47,6 +46,7 @@
     private final OrderDesk orders;
     private final RunTracker runs;
     private final JobIntake intake;
+    private final StuckRuns stuckRuns;
     private final ScheduledExecutorService loop;
     private boolean closed;
 
@@ -82,6 +82,7 @@
         orders = new OrderDesk(state, entries);
         runs = new RunTracker(state, orders);
         intake = new JobIntake(state, loop, this::plan);
+        stuckRuns = new StuckRuns(state);
         state.restoreRuns();
     }
 
@@ -168,6 +169,7 @@
         }
         long now = state.steadyMillis();
         state.agents().values().forEach(agent -> checkAgent(agent, now));
+        stuckRuns.stopAll(now);
         if (state.contact().ageMillis() > PROOF_AGE_MILLIS) {
             state.writer().verify();
         }
@@ -216,6 +218,7 @@
                         state.fleet(),
                         state.agents().values(),
                         state.terms(),
+                        runs.failedOn(),
                         now,
                         state.dateMillis());
         List<WaitingUnit> waiting = new ArrayList<>();
@@ -247,7 +250,9 @@
             AgentView agent = state.agent(entry.getValue());
             int number = unit.spec().gang() ? gangRun : task.run() + 1;
             job.put(key, task.assigned(number, new Placement(agent.name(), agent.boot())));
-            AssignedRun run = new AssignedRun(key, number, agent.boot(), unit.spec().room(), now);
+            boolean fresh = task.checkpoint().isEmpty();
+            AssignedRun run =
+                    new AssignedRun(key, number, agent.boot(), unit.spec().room(), now, fresh);
             agent.runs().put(key.toString(), run);
             assigned.add(run);
             noteAssigned(unit, run, agent, now);
@@ -286,9 +291,7 @@
         state.metrics().count("tasks.preempted");
         for (AgentView agent : state.agents().values()) {
             for (AssignedRun run : agent.runs().values()) {
-                WorkJob job = state.jobs().get(run.task().job());
-                StepSpec spec = DispatchState.stepOf(job, run.task());
-                if (RoundInput.groupOf(run.task(), spec).equals(unit.id())) {
+                if (state.groupOf(run.task()).equals(unit.id())) {
                     run.requestStop();
                 }
             }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.fescueloom.fleet.QueuePolicy;
 import org.fescueloom.fleet.UpstreamNotice;
 import org.fescueloom.schedule.RunningUnit;
@@ -26,9 +27,13 @@
     /** Stands for the priority of a queue that the configuration no longer has. */
     private static final int LOWEST_PRIORITY = Integer.MAX_VALUE;
 
+    /** A queue that allows less than this many times the work needs fast upstreams. */
+    private static final double PRESSING_FACTOR = 2.0;
+
     private final FleetView fleet;
     private final Collection<AgentView> agents;
     private final DispatchTerms terms;
+    private final Map<String, Set<String>> failedOn;
     private final long steadyMillis;
     private final long dateMillis;
     private final Map<TaskKey, String> agentOfTask = new HashMap<>();
@@ -38,11 +43,13 @@
             FleetView fleet,
             Collection<AgentView> agents,
             DispatchTerms terms,
+            Map<String, Set<String>> failedOn,
             long steadyMillis,
             long dateMillis) {
         this.fleet = fleet;
         this.agents = agents;
         this.terms = terms;
+        this.failedOn = failedOn;
         this.steadyMillis = steadyMillis;
         this.dateMillis = dateMillis;
         for (AgentView agent : agents) {
@@ -68,7 +75,8 @@
                                 new HashSet<>(notice.labels()),
                                 free,
                                 free.plus(agent.stopping()),
-                                1.0));
+                                agent.health().slowness(),
+                                agent.health().suspect(steadyMillis)));
             }
         }
         return rooms;
@@ -129,6 +137,8 @@
                         queue.map(QueuePolicy::priority).orElse(LOWEST_PRIORITY),
                         objective,
                         Math.max(0, dateMillis - due),
+                        factor < PRESSING_FACTOR,
+                        failedOn.getOrDefault(submission.id() + '.' + step, Set.of()),
                         perUpstream));
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -1,7 +1,9 @@
 package org.fescueloom.daemon.dispatch;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.fleet.QueuePolicy;
@@ -20,6 +22,7 @@
     private final DispatchState state;
     private final OrderDesk orders;
     private final Set<String> failedGangRuns = new HashSet<>();
+    private final Map<String, Set<String>> failedOn = new HashMap<>();
 
     RunTracker(DispatchState state, OrderDesk orders) {
         this.state = state;
@@ -93,6 +96,7 @@
             return;
         }
         run.markSeen(now);
+        run.markCheckpoint(row.checkpoint(), now);
         WorkJob job = state.jobs().get(run.task().job());
         if (job != null && !row.checkpoint().isEmpty()) {
             saveCheckpoint(job, run, row.checkpoint());
@@ -134,6 +138,7 @@
         if (!checkpoint.isEmpty()) {
             saveCheckpoint(job, run, checkpoint);
         }
+        learn(agent, run, end, job);
         boolean gang = DispatchState.stepOf(job, run.task()).gang();
         if (gang && end == RunEnd.DONE) {
             gangDone(job, run);
@@ -156,11 +161,49 @@
             TaskRecord task = job.task(key);
             if (task != null && task.run() == run.number()) {
                 job.put(key, new TaskRecord(TaskPhase.DONE, task.run(), null, task.failures(), ""));
-                state.agents().values().forEach(a -> a.runs().remove(key.toString()));
+                stopRest(key);
             }
         }
     }
 
+    /** Room is free only once the upstream has listed the end of a run. */
+    private void stopRest(TaskKey key) {
+        for (AgentView agent : state.agents().values()) {
+            AssignedRun rest = agent.runs().get(key.toString());
+            if (rest != null) {
+                rest.requestStop();
+            }
+        }
+    }
+
+    /** Learns from an end how fast the upstream is and whether it can be trusted. */
+    private void learn(AgentView agent, AssignedRun run, RunEnd end, WorkJob job) {
+        long now = state.steadyMillis();
+        StepSpec spec = DispatchState.stepOf(job, run.task());
+        boolean current = job.task(run.task()).phase() == TaskPhase.ASSIGNED;
+        if (end == RunEnd.FAILED) {
+            agent.health().failed(now);
+            failedOn.computeIfAbsent(stepName(run.task()), k -> new HashSet<>()).add(agent.name());
+        } else if (end == RunEnd.DONE
+                && current
+                && run.fresh()
+                && run.seen()
+                && !spec.endless()
+                && spec.estimateMillis() > 0) {
+            double ratio = (double) (now - run.seenMillis()) / spec.estimateMillis();
+            agent.health().done(ratio, spec.gang() && spec.count() > 1);
+        }
+    }
+
+    private static String stepName(TaskKey task) {
+        return task.job() + '.' + task.step();
+    }
+
+    /** Returns the agents on which a run of a step has failed, by "JOB.STEP". */
+    Map<String, Set<String>> failedOn() {
+        return failedOn;
+    }
+
     private static void apply(WorkJob job, TaskKey key, RunEnd end) {
         job.put(key, job.task(key).ended(end, ""));
     }
