--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
@@ -50,6 +50,7 @@
     private Batch batch;
     private long endOffset;
     private long failingSinceMillis = -1;
+    private boolean verifying;
     private boolean closed;
 
     /** Holds what one append carries, and what is done once it is stored. */
@@ -114,12 +115,18 @@
 
     /** Asks the log service whether anybody else has written. */
     void verify() {
-        if (closed || batch != null) {
+        if (closed || batch != null || verifying) {
             return;
         }
+        verifying = true;
         StoreContact.Moment sent = contact.now();
         log.read(topic, endOffset, Duration.ZERO)
-                .whenCompleteAsync((slice, error) -> verified(sent, slice, error), loop);
+                .whenCompleteAsync(
+                        (slice, error) -> {
+                            verifying = false;
+                            verified(sent, slice, error);
+                        },
+                        loop);
     }
 
     /** Returns for how long the log service has failed, in milliseconds; 0 if it answers. */
@@ -246,7 +253,7 @@
             return;
         }
         if (error != null) {
-            if (failingSinceMillis < 0) {
+            if (failingSinceMillis < 0 && contact.confirmedBefore(sent)) {
                 failingSinceMillis = sent.steadyMillis();
                 EventLog.event("store-lost").field("end", endOffset).error(error).warn();
             }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StoreContact.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StoreContact.java
@@ -51,6 +51,11 @@
         }
     }
 
+    /** Tells whether no call that was sent after a moment has been answered. */
+    boolean confirmedBefore(Moment sent) {
+        return steadyMillis < sent.steadyMillis();
+    }
+
     /** Returns how long ago the confirmed call was sent, in milliseconds. */
     long ageMillis() {
         return steady.millis() - steadyMillis;
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DurableWriterTest.java
@@ -0,0 +1,188 @@
+package org.fescueloom.daemon.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DurableWriterTest {
+    private static final String TOPIC = "keyed.test";
+
+    private final MemoryKeyedLog log = new MemoryKeyedLog();
+    private final ManualLoop loop = new ManualLoop();
+    private final List<String> stored = new ArrayList<>();
+    private boolean replaced;
+
+    private DurableWriter writer(KeyedLog to) {
+        return new DurableWriter(
+                to, TOPIC, 0, loop, loop.contact(), new Metrics(), () -> replaced = true);
+    }
+
+    private void write(DurableWriter writer, String key) {
+        writer.put(key, () -> key.getBytes(StandardCharsets.UTF_8));
+        writer.whenStored(() -> stored.add(key));
+        writer.flush();
+    }
+
+    @Nested
+    class LostAnswers {
+        @Test
+        void areSettledByReading() {
+            DurableWriter writer = writer(log);
+            log.onAppend(MemoryKeyedLog.Fault.ANSWER_LOST);
+            write(writer, "a");
+            loop.advance(10);
+            assertThat(stored).isEmpty();
+
+            log.onAppend(MemoryKeyedLog.Fault.NONE);
+            loop.advance(1_000);
+
+            assertThat(stored).containsExactly("a");
+            assertThat(log.records(TOPIC)).hasSize(1);
+        }
+
+        @Test
+        void doNoHarmWhenTheAppendIsCarriedOutLate() {
+            DurableWriter writer = writer(log);
+            log.onAppend(MemoryKeyedLog.Fault.LATE);
+            write(writer, "a");
+            loop.advance(10);
+            log.onAppend(MemoryKeyedLog.Fault.NONE);
+            loop.advance(1_000);
+            write(writer, "b");
+            loop.advance(100);
+
+            log.runLate();
+
+            assertThat(log.records(TOPIC)).extracting(KeyedRecord::key).containsExactly("a", "b");
+        }
+    }
+
+    @Nested
+    class Replacement {
+        @Test
+        void isFoundByTheNextAppend() {
+            DurableWriter writer = writer(log);
+            log.append(TOPIC, List.of(new KeyedRecord("x", new byte[1])), 0, Duration.ZERO);
+            write(writer, "a");
+            loop.advance(100);
+
+            assertThat(replaced).isTrue();
+            assertThat(stored).isEmpty();
+        }
+
+        @Test
+        void isFoundByVerifying() {
+            DurableWriter writer = writer(log);
+            log.append(TOPIC, List.of(new KeyedRecord("x", new byte[1])), 0, Duration.ZERO);
+            writer.verify();
+            loop.advance(100);
+
+            assertThat(replaced).isTrue();
+        }
+    }
+
+    /**
+     * Whatever becomes of calls, each record is stored once and in order, and only then said so.
+     */
+    @Property(tries = 200, seed = "31")
+    void storesEachRecordOnceInOrder(@ForAll long seed) {
+        Random random = new Random(seed);
+        MemoryKeyedLog faulty = new MemoryKeyedLog();
+        List<String> told = new ArrayList<>();
+        DurableWriter writer = writer(faulty);
+        for (int i = 0; i < 30; i++) {
+            MemoryKeyedLog.Fault[] faults = MemoryKeyedLog.Fault.values();
+            faulty.onAppend(faults[random.nextInt(faults.length)]);
+            faulty.onRead(random.nextInt(4) == 0 ? MemoryKeyedLog.Fault.REFUSED : faults[0]);
+            String key = "k" + i;
+            writer.put(key, () -> new byte[] {1});
+            writer.whenStored(
+                    () -> {
+                        assertThat(faulty.records(TOPIC))
+                                .extracting(KeyedRecord::key)
+                                .contains(key);
+                        told.add(key);
+                    });
+            writer.flush();
+            loop.advance(random.nextInt(600));
+            if (random.nextInt(5) == 0) {
+                faulty.runLate();
+            }
+        }
+        faulty.onAppend(MemoryKeyedLog.Fault.NONE);
+        faulty.onRead(MemoryKeyedLog.Fault.NONE);
+        loop.advance(5_000);
+        faulty.runLate();
+
+        assertThat(told).hasSize(30);
+        assertThat(faulty.records(TOPIC))
+                .extracting(KeyedRecord::key)
+                .containsExactlyElementsOf(told);
+    }
+
+    @Nested
+    class Verifying {
+        /** Answers reads only when the test says so. */
+        private final class SlowReads implements KeyedLog {
+            private final List<CompletableFuture<KeyedSlice>> reads = new ArrayList<>();
+
+            @Override
+            public CompletableFuture<AppendOutcome> append(
+                    String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+                return log.append(topic, records, expectedEnd, timeout);
+            }
+
+            @Override
+            public CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
+                return log.newest(topic, afterKey);
+            }
+
+            @Override
+            public CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait) {
+                CompletableFuture<KeyedSlice> read = new CompletableFuture<>();
+                reads.add(read);
+                return read;
+            }
+        }
+
+        @Test
+        void asksOnceAtATime() {
+            SlowReads slow = new SlowReads();
+            DurableWriter writer = writer(slow);
+            writer.verify();
+            writer.verify();
+
+            assertThat(slow.reads).hasSize(1);
+        }
+
+        @Test
+        void anOldFailureSaysNothingAfterANewerAnswer() {
+            SlowReads slow = new SlowReads();
+            DurableWriter writer = writer(slow);
+            writer.verify();
+            loop.advance(100);
+            write(writer, "a");
+            loop.advance(TimeUnit.SECONDS.toMillis(1));
+            slow.reads
+                    .get(0)
+                    .completeExceptionally(
+                            new SchedulerException(FailureType.LOG_UNDECIDED, "late"));
+            loop.advance(10);
+
+            assertThat(writer.failingMillis()).isZero();
+        }
+    }
+}
