--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRuns.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRuns.java
@@ -9,10 +9,10 @@
 
 /** Stops runs that stand still, take far too long, or will not end before their upstream leaves. */
 final class StuckRuns {
-    /** Estimates are off by up to 1.9 times, and known upstreams take up to 1.6 times as long. */
-    private static final double OVERDUE_FACTOR = 3.3;
+    /** Estimates are off by up to 1.9 times, single tasks of a step by twice that. */
+    private static final double OVERDUE_FACTOR = 5.0;
 
-    private static final long OVERDUE_MARGIN_MILLIS = 1_500;
+    private static final long OVERDUE_MARGIN_MILLIS = 3_000;
 
     /** A run that checkpoints does so with each second of its work, at a quarter of full speed. */
     private static final long NO_PROGRESS_MILLIS = 4_500;
@@ -59,15 +59,21 @@
             return null;
         }
         long elapsed = now - run.seenMillis();
-        if (elapsed > OVERDUE_FACTOR * spec.estimateMillis() + OVERDUE_MARGIN_MILLIS) {
+        if (spec.checkpoints()) {
+            if (now - run.progressMillis() > NO_PROGRESS_MILLIS) {
+                return "no-progress";
+            }
+        } else if (elapsed > overdueMillis(agent, spec)) {
             return "overdue";
         }
-        if (spec.checkpoints() && now - run.progressMillis() > NO_PROGRESS_MILLIS) {
-            return "no-progress";
-        }
         return leavesTooSoon(agent, spec, elapsed, now) ? "upstream-leaves" : null;
     }
 
+    private static double overdueMillis(AgentView agent, StepSpec spec) {
+        double slowness = Math.max(1.0, agent.health().slowness());
+        return OVERDUE_FACTOR * slowness * spec.estimateMillis() + OVERDUE_MARGIN_MILLIS;
+    }
+
     private static boolean leavesTooSoon(AgentView agent, StepSpec spec, long elapsed, long now) {
         if (agent.notice() == null || agent.notice().state() != UpstreamState.DRAINING) {
             return false;
