Pass calls on to the next dispatcher when one steps down

Change: callers of a dispatcher that steps down are sent on; the wait before a claim is 0.1 s. Test: DispatcherTest, sendsCallersOnWhenItStepsDownBeforeAnythingWasStored.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -38,7 +39,10 @@
     /** The topic in which entries tell where they are reached. */
     static final String ENTRIES_TOPIC = "keyed.entries";
 
-    private static final long TICK_MILLIS = 200;
+    private static final long TICK_MILLIS = 100;
+
+    /** How long other entries are given to say that they hear the dispatcher. */
+    private static final long ASK_MILLIS = 100;
 
     /** How often the dispatcher is asked whether it lives. */
     private static final long HELLO_MILLIS = 400;
@@ -63,6 +67,13 @@
     /** How long a call looks for the dispatcher before it is refused. */
     private static final long FORWARD_PATIENCE_MILLIS = 1_800;
 
+    /** After these a call is worth another try: it names its job, so it has effect only once. */
+    private static final Set<FailureType> ANOTHER_MAY_SERVE =
+            EnumSet.of(
+                    FailureType.NOT_DISPATCHER,
+                    FailureType.LOG_UNAVAILABLE,
+                    FailureType.LOG_UNDECIDED);
+
     private static final int MAX_CALLS = 64;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
@@ -314,10 +325,7 @@
             maybeDone |= failure.outcome() != Outcome.NOT_RUN;
             SchedulerException cause =
                     new SchedulerException(failure.error(), failure.detail(), 1_000);
-            boolean anotherMayServe =
-                    failure.error() == FailureType.NOT_DISPATCHER
-                            || failure.error() == FailureType.LOG_UNAVAILABLE;
-            if (anotherMayServe) {
+            if (ANOTHER_MAY_SERVE.contains(failure.error())) {
                 later(cause);
             } else {
                 result.completeExceptionally(maybeDone ? unknown(cause) : cause);
@@ -468,7 +476,7 @@
         suspectedMillis = now;
         List<String> turn = new ArrayList<>(entries);
         turn.remove(leader);
-        claimNotBefore = now + TICK_MILLIS + TURN_MILLIS * Math.max(0, turn.indexOf(address));
+        claimNotBefore = now + ASK_MILLIS + TURN_MILLIS * Math.max(0, turn.indexOf(address));
         EventLog.event("dispatcher-suspected")
                 .field("dispatcher", leader)
                 .field("epoch", epoch)
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
@@ -59,13 +59,19 @@
         return accepted;
     }
 
-    /** Tells all callers that wait that the outcome is not known. */
+    /** Tells all callers that wait to ask the next dispatcher, or that the outcome is not known. */
     void close() {
-        List<List<CompletableFuture<Void>>> all = new ArrayList<>(waiters.values());
+        Map<String, List<CompletableFuture<Void>>> all = new HashMap<>(waiters);
         waiters.clear();
-        for (List<CompletableFuture<Void>> list : all) {
-            list.forEach(w -> w.completeExceptionally(undecided("the dispatcher was replaced")));
-        }
+        all.forEach(
+                (id, list) -> {
+                    boolean neverSent = state.writer().withdraw(JobStore.submissionKey(id));
+                    SchedulerException failure =
+                            neverSent
+                                    ? Dispatcher.notDispatcher()
+                                    : undecided("the dispatcher was replaced");
+                    list.forEach(w -> w.completeExceptionally(failure));
+                });
     }
 
     private CompletableFuture<Void> await(String id, long waitMillis) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -188,6 +188,19 @@
                     .doesNotContain(JobStore.submissionKey("j"));
         }
 
+        @Test
+        void sendsCallersOnWhenItStepsDownBeforeAnythingWasStored() {
+            Dispatcher dispatcher = claim();
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+            CompletableFuture<Void> accepted = dispatcher.submit(job("j", 1, false), 2_000);
+            loop.advance(300);
+
+            dispatcher.close();
+
+            Throwable error = accepted.handle((v, e) -> e).join();
+            assertThat(Failures.typeOf(error)).isEqualTo(FailureType.NOT_DISPATCHER);
+        }
+
         @Test
         void refusesAtOnceWhileTheLogIsDown() {
             Dispatcher dispatcher = claim();
