Let customers take back guaranteed accelerators from urgent borrowers, and note accepted jobs

Change: a unit of priority 0 whose customer stays within its guarantee comes before other urgent units and may stop urgent runs of customers that have borrowed more. Each accepted job is logged with what it asks for. Test: TaskSchedulerTest, takeBackWhatOthersHaveBorrowed, failed before.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/RunningUnit.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/RunningUnit.java
@@ -10,6 +10,7 @@
  * @param id a name that is unique in the plan, not null
  * @param customer the customer, not null
  * @param priority the priority of its queue
+ * @param guaranteed whether all urgent jobs of the customer fit into what it is guaranteed
  * @param room what the runs take of each agent's upstream, not null
  * @param lossCoreSeconds the work that is thrown away if they are stopped now
  */
@@ -17,6 +18,7 @@
         String id,
         String customer,
         int priority,
+        boolean guaranteed,
         Map<String, Resources> room,
         double lossCoreSeconds) {
     /** Checks the values. */
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/TaskScheduler.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/TaskScheduler.java
@@ -12,8 +12,9 @@
  * Plans one round.
  *
  * <p>Units are served by priority, then by the time at which their job should be done. Units of
- * priority 0 may stop others; the room that a stop gives back is kept for the unit that asked for
- * it, because the next round finds it in the same order.
+ * priority 0 may stop less urgent ones, and those within the guarantee of their customer also
+ * urgent ones of customers that have borrowed more than theirs. The room that a stop gives back is
+ * kept for the unit that asked for it, because the next round finds it in the same order.
  */
 public final class TaskScheduler {
     private static final int PREEMPTING_PRIORITY = 0;
@@ -58,6 +59,7 @@
         List<WaitingUnit> ranked = new ArrayList<>(waiting);
         ranked.sort(
                 Comparator.comparingInt(WaitingUnit::priority)
+                        .thenComparing(WaitingUnit::guaranteed, Comparator.reverseOrder())
                         .thenComparingLong(WaitingUnit::objectiveMillis)
                         .thenComparing(WaitingUnit::job)
                         .thenComparingInt(WaitingUnit::occurrence)
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/VictimSearch.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/VictimSearch.java
@@ -33,7 +33,7 @@
      */
     List<RunningUnit> search(WaitingUnit unit, Collection<RunningUnit> running) {
         List<RunningUnit> order = new ArrayList<>(running);
-        order.removeIf(r -> r.priority() <= unit.priority());
+        order.removeIf(r -> !mayStop(unit, r));
         order.sort(
                 Comparator.comparingInt(RunningUnit::priority)
                         .reversed()
@@ -51,6 +51,12 @@
         return List.of();
     }
 
+    private static boolean mayStop(WaitingUnit unit, RunningUnit running) {
+        boolean lessUrgent = running.priority() > unit.priority();
+        boolean borrowed = running.priority() == unit.priority() && !running.guaranteed();
+        return lessUrgent || (unit.guaranteed() && borrowed);
+    }
+
     /** Drops each unit that is not needed, the most costly ones first. */
     private List<RunningUnit> withoutSurplus(WaitingUnit unit, List<RunningUnit> chosen) {
         List<RunningUnit> kept = new ArrayList<>(chosen);
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
@@ -19,6 +19,7 @@
  * @param priority the priority of its queue; 0 comes first
  * @param objectiveMillis when the job should be done, on the clock of the caller, in milliseconds
  * @param waitedMillis how long the tasks have waited, in milliseconds
+ * @param guaranteed whether all urgent jobs of the customer fit into what it is guaranteed
  * @param pressing whether the job allows little more time than its work takes
  * @param failedOn the agents on which a run of the step has failed, not null
  * @param perUpstream how many tasks of the step each agent runs already, not null
@@ -34,6 +35,7 @@
         int priority,
         long objectiveMillis,
         long waitedMillis,
+        boolean guaranteed,
         boolean pressing,
         Set<String> failedOn,
         Map<String, Integer> perUpstream) {
@@ -69,6 +71,7 @@
                 priority,
                 objectiveMillis,
                 waitedMillis,
+                guaranteed,
                 pressing,
                 failedOn,
                 perUpstream);
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -42,6 +42,7 @@
                 priority,
                 1_000,
                 waited,
+                false,
                 priority == 0,
                 Set.of(),
                 Map.of());
@@ -95,7 +96,7 @@
                         room("y", "r1", new Resources(0, 0, 0)));
 
         private RunningUnit running(String id, int priority, String agent, double loss) {
-            return new RunningUnit(id, "c", priority, Map.of(agent, NODE), loss);
+            return new RunningUnit(id, "c", priority, true, Map.of(agent, NODE), loss);
         }
 
         @Test
@@ -117,6 +118,35 @@
             assertThat(plan.stops()).isEmpty();
         }
 
+        @Test
+        void takeBackWhatOthersHaveBorrowed() {
+            WaitingUnit within =
+                    new WaitingUnit(
+                            "j",
+                            0,
+                            0,
+                            List.of(0, 1),
+                            gang,
+                            "s",
+                            "c",
+                            0,
+                            1_000,
+                            0,
+                            true,
+                            true,
+                            Set.of(),
+                            Map.of());
+            RunningUnit borrower =
+                    new RunningUnit("b", "other", 0, false, Map.of("x", NODE, "y", NODE), 5);
+
+            assertThat(TaskScheduler.plan(List.of(within), List.of(borrower), full).stops())
+                    .containsExactly(borrower);
+            assertThat(
+                            TaskScheduler.plan(List.of(unit("j", 0, gang)), List.of(borrower), full)
+                                    .stops())
+                    .isEmpty();
+        }
+
         @Test
         void takeNoMoreRoomThanTheyNeed() {
             StepSpec single = WorkSamples.gang(1, GPU.times(8));
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -220,7 +220,8 @@
                         state.terms(),
                         runs.failedOn(),
                         now,
-                        state.dateMillis());
+                        state.dateMillis(),
+                        state.jobs().values());
         List<WaitingUnit> waiting = new ArrayList<>();
         for (WorkJob job : state.jobs().values()) {
             if (!job.phase().ended() && state.storedViews().containsKey(job.submission().id())) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
@@ -7,11 +7,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.work.JobView;
+import org.fescueloom.work.StepSpec;
 import org.fescueloom.work.Submission;
 import org.fescueloom.work.WorkJob;
+import org.fescueloom.work.WorkSpec;
 
 /** Accepts jobs, and answers their callers once that is stored. */
 final class JobIntake {
@@ -104,10 +107,31 @@
         }
         state.storedViews().put(id, JobView.QUEUED);
         state.metrics().count("tasks.jobs-accepted");
+        noteAccepted(job.submission());
         stored.forEach(w -> w.complete(null));
         onAccepted.run();
     }
 
+    private void noteAccepted(Submission submission) {
+        WorkSpec work = submission.work();
+        List<StepSpec> steps = work.steps();
+        EventLog.event("job-accepted")
+                .field("job", submission.id())
+                .field("queue", submission.queue())
+                .field("customer", submission.customer())
+                .field("steps", steps.size())
+                .field("tasks", steps.stream().mapToInt(StepSpec::count).sum())
+                .field("gang", steps.stream().anyMatch(StepSpec::gang))
+                .field("endless", steps.stream().anyMatch(StepSpec::endless))
+                .field("filler", steps.stream().anyMatch(StepSpec::filler))
+                .field("occurrences", work.occurrences())
+                .field("chain", work.longestChainMillis())
+                .field("core-seconds", Math.round(work.coreSeconds()))
+                .field("config", state.fleet().version())
+                .field("epoch", state.epoch())
+                .info();
+    }
+
     private static SchedulerException storeDown() {
         return new SchedulerException(FailureType.LOG_UNAVAILABLE, "the log is down", RETRY_MILLIS);
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
@@ -27,6 +27,9 @@
     /** Stands for the priority of a queue that the configuration no longer has. */
     private static final int LOWEST_PRIORITY = Integer.MAX_VALUE;
 
+    /** The priority that guarantees hold for. */
+    private static final int URGENT = 0;
+
     /** A queue that allows less than this many times the work needs fast upstreams. */
     private static final double PRESSING_FACTOR = 2.0;
 
@@ -36,6 +39,7 @@
     private final Map<String, Set<String>> failedOn;
     private final long steadyMillis;
     private final long dateMillis;
+    private final Map<String, Long> urgentNeed = new HashMap<>();
     private final Map<TaskKey, String> agentOfTask = new HashMap<>();
     private final Map<TaskKey, AssignedRun> runOfTask = new HashMap<>();
 
@@ -45,13 +49,19 @@
             DispatchTerms terms,
             Map<String, Set<String>> failedOn,
             long steadyMillis,
-            long dateMillis) {
+            long dateMillis,
+            Collection<WorkJob> jobs) {
         this.fleet = fleet;
         this.agents = agents;
         this.terms = terms;
         this.failedOn = failedOn;
         this.steadyMillis = steadyMillis;
         this.dateMillis = dateMillis;
+        for (WorkJob job : jobs) {
+            if (!job.phase().ended() && priority(job) == URGENT) {
+                urgentNeed.merge(job.submission().customer(), accelerators(job), Long::sum);
+            }
+        }
         for (AgentView agent : agents) {
             for (AssignedRun run : agent.runs().values()) {
                 agentOfTask.put(run.task(), agent.name());
@@ -134,14 +144,36 @@
                         spec,
                         queue.map(QueuePolicy::service).orElse(submission.service()),
                         submission.customer(),
-                        queue.map(QueuePolicy::priority).orElse(LOWEST_PRIORITY),
+                        priority(job),
                         objective,
                         Math.max(0, dateMillis - due),
+                        guaranteed(job),
                         factor < PRESSING_FACTOR,
                         failedOn.getOrDefault(submission.id() + '.' + step, Set.of()),
                         perUpstream));
     }
 
+    private int priority(WorkJob job) {
+        return queue(job).map(QueuePolicy::priority).orElse(LOWEST_PRIORITY);
+    }
+
+    /** Tells whether the urgent jobs of the customer need no more than it is guaranteed. */
+    private boolean guaranteed(WorkJob job) {
+        String customer = job.submission().customer();
+        return priority(job) == URGENT
+                && urgentNeed.getOrDefault(customer, 0L)
+                        <= fleet.configuration().guaranteedTo(customer);
+    }
+
+    /** Returns the most accelerators that a step of the job takes at once. */
+    private static long accelerators(WorkJob job) {
+        long most = 0;
+        for (StepSpec step : job.submission().work().steps()) {
+            most = Math.max(most, step.count() * step.need().accelerators());
+        }
+        return most;
+    }
+
     private Optional<QueuePolicy> queue(WorkJob job) {
         return fleet.configuration().queue(job.submission().queue());
     }
@@ -184,8 +216,8 @@
             room.merge(agentOfTask.get(run.task()), run.room(), Resources::plus);
             loss += loss(run, spec(job, run.task()));
         }
-        int priority = queue(job).map(QueuePolicy::priority).orElse(LOWEST_PRIORITY);
-        return new RunningUnit(id, job.submission().customer(), priority, room, loss);
+        return new RunningUnit(
+                id, job.submission().customer(), priority(job), guaranteed(job), room, loss);
     }
 
     private double loss(AssignedRun run, StepSpec spec) {
