Bound what urgent jobs outside their guarantee may throw away

Change: outside a guarantee a unit stops others only if less work is lost than it brings. Test: TaskSchedulerTest, throwNoMoreWorkAwayThanTheyBringUnlessGuaranteed.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/VictimSearch.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/VictimSearch.java
@@ -45,7 +45,8 @@
             add(gained, victim);
             chosen.add(victim);
             if (fits(unit, gained)) {
-                return withoutSurplus(unit, chosen);
+                List<RunningUnit> needed = withoutSurplus(unit, chosen);
+                return worthIt(unit, needed) ? needed : List.of();
             }
         }
         return List.of();
@@ -57,6 +58,12 @@
         return lessUrgent || (unit.guaranteed() && borrowed);
     }
 
+    /** A guarantee is kept at any cost; otherwise no more work is lost than the unit brings. */
+    private static boolean worthIt(WaitingUnit unit, List<RunningUnit> stops) {
+        double loss = stops.stream().mapToDouble(RunningUnit::lossCoreSeconds).sum();
+        return unit.guaranteed() || loss <= unit.coreSeconds();
+    }
+
     /** Drops each unit that is not needed, the most costly ones first. */
     private List<RunningUnit> withoutSurplus(WaitingUnit unit, List<RunningUnit> chosen) {
         List<RunningUnit> kept = new ArrayList<>(chosen);
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
@@ -53,6 +53,15 @@
         }
     }
 
+    /**
+     * Returns the work of the tasks that wait.
+     *
+     * @return core-seconds by the estimate
+     */
+    public double coreSeconds() {
+        return indexes.size() * spec.need().cores() * spec.estimateMillis() / 1_000.0;
+    }
+
     /**
      * Returns the same unit with fewer tasks.
      *
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -147,6 +147,32 @@
                     .isEmpty();
         }
 
+        @Test
+        void throwNoMoreWorkAwayThanTheyBringUnlessGuaranteed() {
+            List<RunningUnit> dear = List.of(running("a", 1, "x", 500), running("b", 2, "y", 500));
+            WaitingUnit plain = unit("j", 0, gang);
+            WaitingUnit guaranteed =
+                    new WaitingUnit(
+                            "j",
+                            0,
+                            0,
+                            List.of(0, 1),
+                            gang,
+                            "s",
+                            "c",
+                            0,
+                            1_000,
+                            0,
+                            true,
+                            true,
+                            Set.of(),
+                            Map.of());
+
+            assertThat(plain.coreSeconds()).isLessThan(1_000);
+            assertThat(TaskScheduler.plan(List.of(plain), dear, full).stops()).isEmpty();
+            assertThat(TaskScheduler.plan(List.of(guaranteed), dear, full).stops()).hasSize(2);
+        }
+
         @Test
         void takeNoMoreRoomThanTheyNeed() {
             StepSpec single = WorkSamples.gang(1, GPU.times(8));
