--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/DaemonMain.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/DaemonMain.java
@@ -71,10 +71,15 @@
         return options;
     }
 
+    private static void stop(Daemon daemon) {
+        daemon.close();
+        EventLog.close();
+    }
+
     private static void run(Settings settings) {
         EventLog.configure(settings.logLevel(), settings.member());
         Daemon daemon = Daemon.create(settings);
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::close, "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
         daemon.start();
         System.out.println("listening " + daemon.address());
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/logging/EventLog.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/logging/EventLog.java
@@ -6,6 +6,7 @@
 import org.tinylog.Logger;
 import org.tinylog.ThreadContext;
 import org.tinylog.configuration.Configuration;
+import org.tinylog.provider.ProviderRegistry;
 
 /**
  * Writes one structured line for an event: its name, then its fields as key=value.
@@ -47,6 +48,15 @@
         return new EventLog(Objects.requireNonNull(name, "name"));
     }
 
+    /** Writes what waits and ends logging; to be called last before the process ends. */
+    public static void close() {
+        try {
+            ProviderRegistry.getLoggingProvider().shutdown();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * Adds a field.
      *
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/logging/LineQueue.java
@@ -0,0 +1,82 @@
+package org.fescueloom.daemon.logging;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Objects;
+import java.util.function.LongSupplier;
+
+/**
+ * Holds lines between those who log and the one thread that writes.
+ *
+ * <p>To add a line never blocks: beyond a number of lines that wait, or a number of lines in a
+ * second, it is dropped and counted. Warnings and errors are not counted against the rate.
+ */
+final class LineQueue {
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final int capacity;
+    private final int linesPerSecond;
+    private final LongSupplier clockMillis;
+    private final Deque<String> lines = new ArrayDeque<>();
+    private long second = Long.MIN_VALUE;
+    private int inSecond;
+    private long dropped;
+    private boolean closed;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param capacity how many lines may wait, at least 1
+     * @param linesPerSecond how many lines of lower levels are taken in a second, at least 1
+     * @param clockMillis gives the time in milliseconds, not null
+     * @throws IllegalArgumentException if a number is not positive
+     */
+    LineQueue(int capacity, int linesPerSecond, LongSupplier clockMillis) {
+        if (capacity < 1 || linesPerSecond < 1) {
+            throw new IllegalArgumentException("the bounds of the queue must be positive");
+        }
+        this.capacity = capacity;
+        this.linesPerSecond = linesPerSecond;
+        this.clockMillis = Objects.requireNonNull(clockMillis, "clockMillis");
+    }
+
+    /** Adds a line, or counts it as dropped. */
+    synchronized void add(String line, boolean important) {
+        if (lines.size() >= capacity || (!important && !withinRate())) {
+            dropped++;
+            return;
+        }
+        lines.add(line);
+        notifyAll();
+    }
+
+    private boolean withinRate() {
+        long now = clockMillis.getAsLong() / MILLIS_PER_SECOND;
+        if (now != second) {
+            second = now;
+            inSecond = 0;
+        }
+        return ++inSecond <= linesPerSecond;
+    }
+
+    /** Waits for a line; returns null once the queue is closed and empty. */
+    synchronized String take() throws InterruptedException {
+        while (lines.isEmpty() && !closed) {
+            wait();
+        }
+        return lines.poll();
+    }
+
+    /** Returns how many lines were dropped since the last call. */
+    synchronized long takeDropped() {
+        long count = dropped;
+        dropped = 0;
+        return count;
+    }
+
+    /** Lets the writer end once it has written what waits. */
+    synchronized void close() {
+        closed = true;
+        notifyAll();
+    }
+}
