Judge restored runs only after a look, and try silent dispatchers again

A call to a dispatcher that had gone silent waited for the whole time of its caller and was answered 504. Change: runs are judged after a look; a call is tried again after 1 s, and one that may have had an effect until its caller's time is up; reads are never answered as if they had an effect. Test: DispatcherTest, waitsForALookBeforeItJudgesARun, failed before.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -183,7 +183,8 @@
     private void checkAgent(AgentView agent, long now) {
         if (now - agent.grantedMillis() > state.terms().surelyLapsedMillis()) {
             runs.endAll(agent, RunEnd.LAPSED);
-        } else if (agent.notice() != null && !orders.startAllowed(agent)) {
+        } else if (agent.looking() && !orders.startAllowed(agent)) {
+            // The upstream was looked at: what it has not listed has not started.
             for (AssignedRun run : agent.runs().values()) {
                 if (!run.seen()) {
                     run.requestStop();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -64,6 +64,13 @@
 
     private static final long FORWARD_RETRY_MILLIS = 100;
 
+    /**
+     * After this time without an answer a call is tried again, as a repeat has no further effect.
+     */
+    private static final long ATTEMPT_MILLIS = 1_000;
+
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
     /** How long a call looks for the dispatcher before it is refused. */
     private static final long FORWARD_PATIENCE_MILLIS = 1_800;
 
@@ -307,14 +314,18 @@
             String query = method.equals("POST") ? "?wait=" + Math.max(1, left - 100) : "";
             http.send(
                             HttpClient.request(method, target, path + query, body).build(),
-                            Duration.ofMillis(left))
+                            Duration.ofMillis(Math.min(left, ATTEMPT_MILLIS)))
                     .whenComplete(this::answered);
         }
 
         private void answered(HttpAnswer answer, Throwable error) {
             if (error != null) {
-                maybeDone = true;
-                later(Failures.of(error, FailureType.OUTCOME_UNKNOWN));
+                maybeDone |= !method.equals("GET");
+                later(
+                        new SchedulerException(
+                                FailureType.NOT_DISPATCHER,
+                                "the dispatcher has not answered: " + Failures.causeOf(error),
+                                RETRY_AFTER_MILLIS));
                 return;
             }
             if (answer.isSuccess()) {
@@ -324,7 +335,7 @@
             FailureBody failure = readFailure(answer);
             maybeDone |= failure.outcome() != Outcome.NOT_RUN;
             SchedulerException cause =
-                    new SchedulerException(failure.error(), failure.detail(), 1_000);
+                    new SchedulerException(failure.error(), failure.detail(), RETRY_AFTER_MILLIS);
             if (ANOTHER_MAY_SERVE.contains(failure.error())) {
                 later(cause);
             } else {
@@ -333,7 +344,9 @@
         }
 
         private void later(SchedulerException cause) {
-            if (now() + FORWARD_RETRY_MILLIS < patienceEnd) {
+            // A call that may have had an effect is worth waiting for: a repeat finds out.
+            long end = maybeDone ? deadline - FORWARD_RETRY_MILLIS : patienceEnd;
+            if (now() + FORWARD_RETRY_MILLIS < end) {
                 metrics.countRetry(cause.type());
                 loop.schedule(this::attempt, FORWARD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             } else {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -74,6 +74,7 @@
         private List<RunRow> running = new ArrayList<>();
         private List<EndRow> ended = new ArrayList<>();
         private List<StopOrder> barred = new ArrayList<>();
+        private boolean looked = true;
 
         Agent(String name) {
             this.name = name;
@@ -94,7 +95,7 @@
                             sequence);
             AgentReport report =
                     new AgentReport(
-                            name, "p", ++sequence, 0, notice, true, 0, running, ended, barred);
+                            name, "p", ++sequence, 0, notice, looked, 0, running, ended, barred);
             return to.report(report);
         }
 
@@ -362,6 +363,25 @@
             assertThat(orders.stops()).isEmpty();
         }
 
+        @Test
+        void waitsForALookBeforeItJudgesARun() {
+            Dispatcher first = claim();
+            Agent agent = new Agent("a");
+            accept(first, job("j", 2, true));
+            agent.exchange(first);
+            List<RunRow> running = agent.running;
+
+            Dispatcher second = claim();
+            agent.running = new ArrayList<>();
+            agent.looked = false;
+            assertThat(agent.exchange(second).stops()).isEmpty();
+            agent.running = running;
+            agent.looked = true;
+
+            assertThat(agent.exchange(second).stops()).isEmpty();
+            assertThat(agent.running).hasSize(2).allMatch(row -> row.run() == 1);
+        }
+
         @Test
         void stopsTheOneBefore() {
             Dispatcher first = claim();
