Let dispatchers answer before an attempt is given up

Clients cannot repeat unsafe requests after a 504. Change: the dispatcher gets the time of the attempt less 250 ms. Calls are passed on in JobForwarder, apart from the choice of the dispatcher.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,18 +11,13 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.fescueloom.daemon.http.HttpAnswer;
 import org.fescueloom.daemon.http.HttpCall;
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.http.HttpReply;
 import org.fescueloom.daemon.http.HttpServer;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
-import org.fescueloom.failure.FailureBody;
-import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Failures;
-import org.fescueloom.failure.Outcome;
-import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.json.Json;
 import org.fescueloom.work.JobView;
 import org.fescueloom.work.Submission;
@@ -35,7 +29,7 @@
  * the office if none of them hears it. A wrong suspicion costs a change of the dispatcher and
  * breaks no promise: the log refuses the appends of the one that was replaced.
  */
-public final class EntryNode implements JobDesk {
+public final class EntryNode {
     /** The topic in which entries tell where they are reached. */
     static final String ENTRIES_TOPIC = "keyed.entries";
 
@@ -62,25 +56,6 @@
     /** How much later the next entry in turn claims. */
     private static final long TURN_MILLIS = 300;
 
-    private static final long FORWARD_RETRY_MILLIS = 100;
-
-    /**
-     * After this time without an answer a call is tried again, as a repeat has no further effect.
-     */
-    private static final long ATTEMPT_MILLIS = 1_000;
-
-    private static final long RETRY_AFTER_MILLIS = 1_000;
-
-    /** How long a call looks for the dispatcher before it is refused. */
-    private static final long FORWARD_PATIENCE_MILLIS = 1_800;
-
-    /** After these a call is worth another try: it names its job, so it has effect only once. */
-    private static final Set<FailureType> ANOTHER_MAY_SERVE =
-            EnumSet.of(
-                    FailureType.NOT_DISPATCHER,
-                    FailureType.LOG_UNAVAILABLE,
-                    FailureType.LOG_UNDECIDED);
-
     private static final int MAX_CALLS = 64;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
@@ -92,6 +67,7 @@
     private final Supplier<FleetView> fleet;
     private final Metrics metrics;
     private final HttpClient http = new HttpClient(MAX_CALLS, CONNECT_TIMEOUT);
+    private final JobForwarder forwarder;
     private final StoreContact clocks = StoreContact.onSystemClocks();
     private final Set<String> entries = new TreeSet<>();
     private volatile Dispatcher dispatcher;
@@ -131,6 +107,7 @@
         this.loop = loop;
         this.fleet = fleet;
         this.metrics = metrics;
+        forwarder = new JobForwarder(http, () -> leader, loop, metrics);
         entries.addAll(seeds);
         entries.add(address);
     }
@@ -192,58 +169,42 @@
         return !leaving && fleet.get().configuration() != null && !leader.isEmpty();
     }
 
-    @Override
-    public CompletableFuture<Void> submit(Submission submission, long waitMillis) {
-        return forward("POST", "/jobs/" + submission.id(), submission, waitMillis)
-                .thenApply(answer -> null);
-    }
-
-    @Override
-    public CompletableFuture<JobView> view(String job, long waitMillis) {
-        return forward("GET", "/jobs/" + job, null, waitMillis)
-                .thenApply(answer -> answer.read(ViewAnswer.class).state());
-    }
-
-    @Override
-    public CompletableFuture<Boolean> cancel(String job, long waitMillis) {
-        return forward("DELETE", "/jobs/" + job, null, waitMillis)
-                .thenApply(answer -> answer.read(CancelAnswer.class).known());
-    }
-
-    @Override
-    public CompletableFuture<Long> pending(String queue, long waitMillis) {
-        return forward("GET", "/queues/" + queue + "/pending", null, waitMillis)
-                .thenApply(answer -> answer.read(PendingAnswer.class).pending());
+    /**
+     * Returns the desk that passes calls to the dispatcher, wherever it is.
+     *
+     * @return the desk, never null
+     */
+    public JobDesk desk() {
+        return forwarder;
     }
 
-    private record ViewAnswer(JobView state) {}
-
-    private record CancelAnswer(boolean known) {}
-
-    private record PendingAnswer(long pending) {}
-
     private CompletableFuture<HttpReply> takeSubmit(HttpCall call) {
         Submission submission = call.read(Submission.class);
-        long wait = call.queryLong("wait", FORWARD_PATIENCE_MILLIS);
+        long wait = call.queryLong("wait", JobForwarder.PATIENCE_MILLIS);
         return here(
                 d ->
                         d.submit(submission, wait)
-                                .thenApply(v -> HttpReply.json(new ViewAnswer(JobView.QUEUED))));
+                                .thenApply(
+                                        v ->
+                                                HttpReply.json(
+                                                        new JobForwarder.ViewAnswer(
+                                                                JobView.QUEUED))));
     }
 
     private CompletableFuture<HttpReply> takeView(HttpCall call) {
         String id = call.path("id");
-        return here(d -> done(new ViewAnswer(d.view(id))));
+        return here(d -> done(new JobForwarder.ViewAnswer(d.view(id))));
     }
 
     private CompletableFuture<HttpReply> takeCancel(HttpCall call) {
         String id = call.path("id");
-        return here(d -> d.cancel(id).thenApply(k -> HttpReply.json(new CancelAnswer(k))));
+        return here(
+                d -> d.cancel(id).thenApply(k -> HttpReply.json(new JobForwarder.CancelAnswer(k))));
     }
 
     private CompletableFuture<HttpReply> takePending(HttpCall call) {
         String queue = call.path("queue");
-        return here(d -> done(new PendingAnswer(d.pending(queue))));
+        return here(d -> done(new JobForwarder.PendingAnswer(d.pending(queue))));
     }
 
     private CompletableFuture<HttpReply> report(HttpCall call) {
@@ -276,99 +237,6 @@
         return CompletableFuture.completedFuture(HttpReply.json(body));
     }
 
-    /** Passes a call to the dispatcher, and waits a little if there is none just now. */
-    private CompletableFuture<HttpAnswer> forward(
-            String method, String path, Object body, long waitMillis) {
-        long patience = Math.min(waitMillis, FORWARD_PATIENCE_MILLIS);
-        Forwarding forwarding =
-                new Forwarding(method, path, body, now() + waitMillis, now() + patience);
-        forwarding.attempt();
-        return forwarding.result;
-    }
-
-    /** Follows one call until the dispatcher has answered it. */
-    private final class Forwarding {
-        private final CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
-        private final String method;
-        private final String path;
-        private final Object body;
-        private final long deadline;
-        private final long patienceEnd;
-        private boolean maybeDone;
-
-        Forwarding(String method, String path, Object body, long deadline, long patienceEnd) {
-            this.method = method;
-            this.path = path;
-            this.body = body;
-            this.deadline = deadline;
-            this.patienceEnd = patienceEnd;
-        }
-
-        void attempt() {
-            String target = leader;
-            long left = deadline - now();
-            if (target.isEmpty() || left <= 0) {
-                later(Dispatcher.notDispatcher());
-                return;
-            }
-            String query = method.equals("POST") ? "?wait=" + Math.max(1, left - 100) : "";
-            http.send(
-                            HttpClient.request(method, target, path + query, body).build(),
-                            Duration.ofMillis(Math.min(left, ATTEMPT_MILLIS)))
-                    .whenComplete(this::answered);
-        }
-
-        private void answered(HttpAnswer answer, Throwable error) {
-            if (error != null) {
-                maybeDone |= !method.equals("GET");
-                later(
-                        new SchedulerException(
-                                FailureType.NOT_DISPATCHER,
-                                "the dispatcher has not answered: " + Failures.causeOf(error),
-                                RETRY_AFTER_MILLIS));
-                return;
-            }
-            if (answer.isSuccess()) {
-                result.complete(answer);
-                return;
-            }
-            FailureBody failure = readFailure(answer);
-            maybeDone |= failure.outcome() != Outcome.NOT_RUN;
-            SchedulerException cause =
-                    new SchedulerException(failure.error(), failure.detail(), RETRY_AFTER_MILLIS);
-            if (ANOTHER_MAY_SERVE.contains(failure.error())) {
-                later(cause);
-            } else {
-                result.completeExceptionally(maybeDone ? unknown(cause) : cause);
-            }
-        }
-
-        private void later(SchedulerException cause) {
-            // A call that may have had an effect is worth waiting for: a repeat finds out.
-            long end = maybeDone ? deadline - FORWARD_RETRY_MILLIS : patienceEnd;
-            if (now() + FORWARD_RETRY_MILLIS < end) {
-                metrics.countRetry(cause.type());
-                loop.schedule(this::attempt, FORWARD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-            } else {
-                result.completeExceptionally(maybeDone ? unknown(cause) : cause);
-            }
-        }
-
-        private SchedulerException unknown(SchedulerException cause) {
-            return new SchedulerException(
-                    FailureType.OUTCOME_UNKNOWN, "the dispatcher has not answered", 0L, cause);
-        }
-    }
-
-    private static FailureBody readFailure(HttpAnswer answer) {
-        try {
-            return answer.read(FailureBody.class);
-        } catch (SchedulerException e) {
-            return new FailureBody(
-                    FailureType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, "status " + answer.status());
-        }
-    }
-
     private CompletableFuture<HttpReply> answerHello(HttpCall call) {
         learn(call.read(PeerHello.class));
         return done(myHello());
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -0,0 +1,201 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.fescueloom.daemon.http.HttpAnswer;
+import org.fescueloom.daemon.http.HttpClient;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.FailureBody;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
+import org.fescueloom.failure.Outcome;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.work.JobView;
+import org.fescueloom.work.Submission;
+
+/** Passes calls to the dispatcher, and looks for another one when it does not answer. */
+final class JobForwarder implements JobDesk {
+    private static final long FORWARD_RETRY_MILLIS = 100;
+
+    /**
+     * After this time without an answer a call is tried again, as a repeat has no further effect.
+     */
+    private static final long ATTEMPT_MILLIS = 1_000;
+
+    /** What the way of an answer between two entries may take, also on a slow machine. */
+    private static final long ANSWER_MARGIN_MILLIS = 250;
+
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    /** How long a call looks for the dispatcher before it is refused. */
+    static final long PATIENCE_MILLIS = 1_800;
+
+    /** After these a call is worth another try: it names its job, so it has effect only once. */
+    private static final Set<FailureType> ANOTHER_MAY_SERVE =
+            EnumSet.of(
+                    FailureType.NOT_DISPATCHER,
+                    FailureType.LOG_UNAVAILABLE,
+                    FailureType.LOG_UNDECIDED);
+
+    private final HttpClient http;
+    private final Supplier<String> dispatcher;
+    private final ScheduledExecutorService loop;
+    private final Metrics metrics;
+
+    /**
+     * Creates a forwarder.
+     *
+     * @param http sends the calls
+     * @param dispatcher gives the address of the dispatcher; empty while there is none
+     * @param loop runs the repeats
+     * @param metrics counts the repeats
+     */
+    JobForwarder(
+            HttpClient http,
+            Supplier<String> dispatcher,
+            ScheduledExecutorService loop,
+            Metrics metrics) {
+        this.http = http;
+        this.dispatcher = dispatcher;
+        this.loop = loop;
+        this.metrics = metrics;
+    }
+
+    /** Answers a call for the state of a job. */
+    record ViewAnswer(JobView state) {}
+
+    /** Answers a call that cancels a job. */
+    record CancelAnswer(boolean known) {}
+
+    /** Answers a call for the jobs of a queue that have not begun. */
+    record PendingAnswer(long pending) {}
+
+    @Override
+    public CompletableFuture<Void> submit(Submission submission, long waitMillis) {
+        return forward("POST", "/jobs/" + submission.id(), submission, waitMillis)
+                .thenApply(answer -> null);
+    }
+
+    @Override
+    public CompletableFuture<JobView> view(String job, long waitMillis) {
+        return forward("GET", "/jobs/" + job, null, waitMillis)
+                .thenApply(answer -> answer.read(ViewAnswer.class).state());
+    }
+
+    @Override
+    public CompletableFuture<Boolean> cancel(String job, long waitMillis) {
+        return forward("DELETE", "/jobs/" + job, null, waitMillis)
+                .thenApply(answer -> answer.read(CancelAnswer.class).known());
+    }
+
+    @Override
+    public CompletableFuture<Long> pending(String queue, long waitMillis) {
+        return forward("GET", "/queues/" + queue + "/pending", null, waitMillis)
+                .thenApply(answer -> answer.read(PendingAnswer.class).pending());
+    }
+
+    /** Passes a call to the dispatcher, and waits a little if there is none just now. */
+    private CompletableFuture<HttpAnswer> forward(
+            String method, String path, Object body, long waitMillis) {
+        long patience = Math.min(waitMillis, PATIENCE_MILLIS);
+        Forwarding forwarding =
+                new Forwarding(method, path, body, now() + waitMillis, now() + patience);
+        forwarding.attempt();
+        return forwarding.result;
+    }
+
+    /** Follows one call until the dispatcher has answered it. */
+    private final class Forwarding {
+        private final CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+        private final String method;
+        private final String path;
+        private final Object body;
+        private final long deadline;
+        private final long patienceEnd;
+        private boolean maybeDone;
+
+        Forwarding(String method, String path, Object body, long deadline, long patienceEnd) {
+            this.method = method;
+            this.path = path;
+            this.body = body;
+            this.deadline = deadline;
+            this.patienceEnd = patienceEnd;
+        }
+
+        void attempt() {
+            String target = dispatcher.get();
+            long left = deadline - now();
+            if (target.isEmpty() || left <= 0) {
+                later(Dispatcher.notDispatcher());
+                return;
+            }
+            long timeout = Math.min(left, ATTEMPT_MILLIS);
+            // The dispatcher answers before the attempt is given up, so that the outcome is known.
+            long wait = Math.max(1, timeout - ANSWER_MARGIN_MILLIS);
+            String query = method.equals("POST") ? "?wait=" + wait : "";
+            http.send(
+                            HttpClient.request(method, target, path + query, body).build(),
+                            Duration.ofMillis(timeout))
+                    .whenComplete(this::answered);
+        }
+
+        private void answered(HttpAnswer answer, Throwable error) {
+            if (error != null) {
+                maybeDone |= !method.equals("GET");
+                later(
+                        new SchedulerException(
+                                FailureType.NOT_DISPATCHER,
+                                "the dispatcher has not answered: " + Failures.causeOf(error),
+                                RETRY_AFTER_MILLIS));
+                return;
+            }
+            if (answer.isSuccess()) {
+                result.complete(answer);
+                return;
+            }
+            FailureBody failure = readFailure(answer);
+            maybeDone |= failure.outcome() != Outcome.NOT_RUN;
+            SchedulerException cause =
+                    new SchedulerException(failure.error(), failure.detail(), RETRY_AFTER_MILLIS);
+            if (ANOTHER_MAY_SERVE.contains(failure.error())) {
+                later(cause);
+            } else {
+                result.completeExceptionally(maybeDone ? unknown(cause) : cause);
+            }
+        }
+
+        private void later(SchedulerException cause) {
+            // A call that may have had an effect is worth waiting for: a repeat finds out.
+            long end = maybeDone ? deadline - FORWARD_RETRY_MILLIS : patienceEnd;
+            if (now() + FORWARD_RETRY_MILLIS < end) {
+                metrics.countRetry(cause.type());
+                loop.schedule(this::attempt, FORWARD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            } else {
+                result.completeExceptionally(maybeDone ? unknown(cause) : cause);
+            }
+        }
+
+        private SchedulerException unknown(SchedulerException cause) {
+            return new SchedulerException(
+                    FailureType.OUTCOME_UNKNOWN, "the dispatcher has not answered", 0L, cause);
+        }
+    }
+
+    private static FailureBody readFailure(HttpAnswer answer) {
+        try {
+            return answer.read(FailureBody.class);
+        } catch (SchedulerException e) {
+            return new FailureBody(
+                    FailureType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, "status " + answer.status());
+        }
+    }
+
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
