--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
@@ -0,0 +1,155 @@
+package org.fescueloom.daemon.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.fescueloom.daemon.concurrent.Timers;
+import org.fescueloom.daemon.http.HttpClient;
+import org.fescueloom.daemon.http.HttpReply;
+import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
+import org.fescueloom.failure.Outcome;
+import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.work.JobView;
+import org.fescueloom.work.Resources;
+import org.fescueloom.work.StepSpec;
+import org.fescueloom.work.Submission;
+import org.fescueloom.work.WorkSpec;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class JobForwarderTest {
+    private static final long WAIT_MILLIS = 2_500;
+    private static final long TEST_SECONDS = 20;
+
+    private final HttpServer server = new HttpServer("127.0.0.1", 0, 100_000);
+    private final HttpClient http = new HttpClient(8, Duration.ofSeconds(1));
+    private final ScheduledExecutorService loop = Timers.singleThread("test");
+    private final AtomicInteger calls = new AtomicInteger();
+    private volatile String dispatcher = "";
+    private final JobForwarder forwarder =
+            new JobForwarder(http, () -> dispatcher, loop, new Metrics());
+
+    private interface Reply {
+        CompletableFuture<HttpReply> to(int call);
+    }
+
+    private void serve(Reply reply) {
+        for (String method : List.of("GET", "POST", "DELETE")) {
+            server.route(method, "/*", call -> reply.to(calls.incrementAndGet()));
+        }
+        server.start();
+        dispatcher = "127.0.0.1:" + server.port();
+    }
+
+    @AfterEach
+    void close() {
+        server.close();
+        http.close();
+        loop.shutdown();
+    }
+
+    private static Submission job() {
+        StepSpec step =
+                new StepSpec(
+                        1,
+                        Resources.NONE,
+                        1,
+                        List.of(),
+                        false,
+                        false,
+                        "",
+                        "",
+                        0,
+                        false,
+                        false,
+                        false,
+                        "",
+                        0,
+                        false,
+                        0);
+        return new Submission("j", "q", "c", "s", 0, new WorkSpec("p", List.of(step), 0, 0, 1));
+    }
+
+    private static CompletableFuture<HttpReply> refused(FailureType type) {
+        return CompletableFuture.failedFuture(new SchedulerException(type, "by the test"));
+    }
+
+    private static CompletableFuture<HttpReply> answered(Object body) {
+        return CompletableFuture.completedFuture(HttpReply.json(body));
+    }
+
+    private static FailureType failure(CompletableFuture<?> call) {
+        return call.handle((value, error) -> Failures.typeOf(error))
+                .orTimeout(TEST_SECONDS, TimeUnit.SECONDS)
+                .join();
+    }
+
+    @Nested
+    class Repeats {
+        @Test
+        void goToTheNextDispatcher() {
+            serve(
+                    call ->
+                            call == 1
+                                    ? refused(FailureType.NOT_DISPATCHER)
+                                    : answered(new JobForwarder.ViewAnswer(JobView.RUNNING)));
+
+            assertThat(forwarder.view("j", WAIT_MILLIS).join()).isEqualTo(JobView.RUNNING);
+        }
+
+        @Test
+        void findOutWhatBecameOfAJobWhoseDispatcherWentSilent() {
+            serve(
+                    call ->
+                            call == 1
+                                    ? new CompletableFuture<>()
+                                    : answered(new JobForwarder.ViewAnswer(JobView.QUEUED)));
+
+            CompletableFuture<Void> accepted = forwarder.submit(job(), WAIT_MILLIS);
+
+            accepted.orTimeout(TEST_SECONDS, TimeUnit.SECONDS).join();
+            assertThat(calls.get()).isEqualTo(2);
+        }
+    }
+
+    @Nested
+    class Outcomes {
+        @Test
+        void areNotRunWithoutADispatcher() {
+            assertThat(failure(forwarder.submit(job(), 300)).outcome()).isEqualTo(Outcome.NOT_RUN);
+        }
+
+        @Test
+        void areUnknownAfterAnAttemptWithoutAnAnswer() {
+            serve(call -> new CompletableFuture<>());
+
+            assertThat(failure(forwarder.submit(job(), 1_300)).outcome())
+                    .isEqualTo(Outcome.UNKNOWN);
+        }
+
+        @Test
+        void ofReadsAreNeverUnknown() {
+            serve(call -> new CompletableFuture<>());
+
+            assertThat(failure(forwarder.view("j", 1_300)).outcome()).isEqualTo(Outcome.NOT_RUN);
+        }
+
+        @Test
+        void ofRefusalsThatNobodyElseCanMendComeAtOnce() {
+            serve(call -> refused(FailureType.INVALID_FIELD));
+
+            assertThat(failure(forwarder.submit(job(), WAIT_MILLIS)))
+                    .isEqualTo(FailureType.INVALID_FIELD);
+            assertThat(calls.get()).isEqualTo(1);
+        }
+    }
+}
