--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -160,6 +160,15 @@
         http.close();
     }
 
+    /**
+     * Tells whether this entry dispatches.
+     *
+     * @return whether it holds the office as far as it knows
+     */
+    public boolean dispatches() {
+        return dispatcher != null;
+    }
+
     /**
      * Tells whether calls can be served.
      *
@@ -271,7 +280,7 @@
                     .field("dispatcher", leader)
                     .info();
         } else if (hello.epoch() == epoch && hello.leaving() && leader.equals(hello.address())) {
-            leader = "";
+            leaderHeardMillis = now() - SUSPECT_MILLIS;
         } else if (hello.epoch() == epoch
                 && leader.isEmpty()
                 && !hello.leaving()
@@ -342,7 +351,8 @@
                             }
                             if (!hello.dispatcher().equals(target)) {
                                 leader = "";
-                            } else if (hello.storeFailingMillis() < STORE_FAILING_MILLIS) {
+                            } else if (!hello.leaving()
+                                    && hello.storeFailingMillis() < STORE_FAILING_MILLIS) {
                                 leaderHeardMillis = now();
                                 suspectedMillis = -1;
                             } else {
@@ -411,7 +421,7 @@
     }
 
     private void lead(Dispatcher.Start start) {
-        if (start.epoch() <= epoch || leaving) {
+        if (start.epoch() <= epoch) {
             return;
         }
         epoch = start.epoch();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -20,6 +20,9 @@
 
 /** Passes calls to the dispatcher, and looks for another one when it does not answer. */
 final class JobForwarder implements JobDesk {
+    /** How long a call looks for the dispatcher before it is refused. */
+    static final long PATIENCE_MILLIS = 1_800;
+
     private static final long FORWARD_RETRY_MILLIS = 100;
 
     /**
@@ -32,9 +35,6 @@
 
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
-    /** How long a call looks for the dispatcher before it is refused. */
-    static final long PATIENCE_MILLIS = 1_800;
-
     /** After these a call is worth another try: it names its job, so it has effect only once. */
     private static final Set<FailureType> ANOTHER_MAY_SERVE =
             EnumSet.of(
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -0,0 +1,178 @@
+package org.fescueloom.daemon.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.fescueloom.daemon.concurrent.Timers;
+import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.fleet.FleetConfiguration;
+import org.fescueloom.fleet.QueuePolicy;
+import org.fescueloom.work.Resources;
+import org.fescueloom.work.StepSpec;
+import org.fescueloom.work.Submission;
+import org.fescueloom.work.WorkSpec;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EntryNodeTest {
+    private static final long WAIT_SECONDS = 30;
+    private static final DispatchTerms TERMS = new DispatchTerms(7_000, 6_000, 1_800, 60_000, 400);
+    private static final FleetView FLEET =
+            new FleetView(
+                    new FleetConfiguration(
+                            1,
+                            List.of(new QueuePolicy("q", "h", "/", "s", 0, 1, 2, 0, true)),
+                            List.of()),
+                    Set.of(),
+                    0);
+
+    private final MemoryKeyedLog log = new MemoryKeyedLog();
+    private final List<Entry> entries = new ArrayList<>();
+
+    /** Runs one entry on the loopback address. */
+    private final class Entry {
+        private final HttpServer server;
+        private final ScheduledExecutorService loop = Timers.singleThread("entry");
+        private EntryNode node;
+
+        Entry(int port) {
+            server = new HttpServer("127.0.0.1", port, 1 << 20);
+        }
+
+        void start(String address, List<String> seeds) {
+            node = new EntryNode(address, seeds, log, TERMS, loop, () -> FLEET, new Metrics());
+            node.routes(server);
+            server.start();
+            node.start();
+        }
+
+        void kill() {
+            server.close();
+            node.close();
+            loop.shutdownNow();
+        }
+    }
+
+    @BeforeEach
+    void startThree() throws Exception {
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            try (ServerSocket socket = new ServerSocket(0)) {
+                ports.add(socket.getLocalPort());
+            }
+        }
+        List<String> seeds = ports.stream().map(port -> "127.0.0.1:" + port).toList();
+        for (int port : ports) {
+            Entry entry = new Entry(port);
+            entries.add(entry);
+            entry.start("127.0.0.1:" + port, seeds);
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        entries.forEach(Entry::kill);
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("condition in time").isLessThan(end);
+            Thread.sleep(20);
+        }
+    }
+
+    private static Submission job(String id) {
+        StepSpec step =
+                new StepSpec(
+                        1,
+                        Resources.NONE,
+                        1,
+                        List.of(),
+                        false,
+                        false,
+                        "",
+                        "",
+                        0,
+                        false,
+                        false,
+                        false,
+                        "",
+                        0,
+                        false,
+                        0);
+        return new Submission(id, "q", "c", "s", 0, new WorkSpec("p", List.of(step), 0, 0, 1));
+    }
+
+    private static boolean accepts(Entry entry, String id) {
+        CompletableFuture<Void> accepted = entry.node.desk().submit(job(id), 2_500);
+        return accepted.handle((value, error) -> error == null).join();
+    }
+
+    private Entry dispatcher() throws InterruptedException {
+        await(() -> entries.stream().filter(e -> e.node.dispatches()).count() == 1);
+        return entries.stream().filter(e -> e.node.dispatches()).findFirst().orElseThrow();
+    }
+
+    @Nested
+    class Choice {
+        @Test
+        void fallsOnOneAndAllServe() throws InterruptedException {
+            dispatcher();
+
+            for (int i = 0; i < 3; i++) {
+                Entry entry = entries.get(i);
+                String id = "job-" + i;
+                await(() -> accepts(entry, id));
+            }
+        }
+
+        @Test
+        void fallsOnAnotherWhenTheDispatcherIsGone() throws InterruptedException {
+            Entry first = dispatcher();
+            await(() -> accepts(first, "before"));
+            entries.remove(first);
+            first.kill();
+
+            Entry second = dispatcher();
+
+            assertThat(second).isNotSameAs(first);
+            await(() -> accepts(entries.get(0), "after"));
+        }
+    }
+
+    @Nested
+    class Shutdown {
+        @Test
+        void handsOverWhileOthersStay() throws InterruptedException {
+            Entry first = dispatcher();
+            first.node.leave();
+
+            await(() -> !first.node.dispatches());
+            await(() -> entries.stream().anyMatch(e -> e != first && e.node.dispatches()));
+        }
+
+        @Test
+        void goesOnDispatchingWhileAllLeave() throws InterruptedException {
+            dispatcher();
+            await(() -> entries.stream().allMatch(e -> e.node.ready()));
+            entries.forEach(e -> e.node.leave());
+
+            for (int i = 0; i < 20; i++) {
+                assertThat(accepts(entries.get(i % 3), "job-" + i)).isTrue();
+                Thread.sleep(100);
+            }
+            assertThat(dispatcher()).isNotNull();
+        }
+    }
+}
