--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -134,16 +134,13 @@
         loop.schedule(this::tick, 0, TimeUnit.MILLISECONDS);
     }
 
-    /** Hands the office over, if this entry holds it; calls are passed on as before. */
+    /**
+     * Tells the other entries that this one shuts down. One of them that does not takes over, if
+     * this entry dispatches; until then it goes on, and calls are passed on as before.
+     */
     public void leave() {
         leaving = true;
-        loop.execute(
-                () -> {
-                    if (dispatcher != null) {
-                        stepDown("leaving");
-                    }
-                    others().forEach(this::sayHello);
-                });
+        loop.execute(() -> others().forEach(this::sayHello));
     }
 
     /**
@@ -155,9 +152,15 @@
         loop.execute(() -> entries.addAll(seeds));
     }
 
-    /** Ends all calls. */
+    /** Gives the office up, if this entry holds it, and ends all calls. */
     public void close() {
-        http.close();
+        loop.execute(
+                () -> {
+                    if (dispatcher != null) {
+                        stepDown("shut down");
+                    }
+                    http.close();
+                });
     }
 
     /**
