Refuse at once while the log is down for all, and give short tasks time

Change: at least 8 s before a run is overdue, more for each further run; a call is refused at once if the log fails this entry as well as the dispatcher. Test: DispatcherTest$Overdue and JobForwarderTest, both failed before.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.fescueloom.daemon.http.HttpCall;
 import org.fescueloom.daemon.http.HttpClient;
@@ -91,6 +92,7 @@
      * @param terms the times of dispatching, not null
      * @param loop the one thread of the entry, not null
      * @param fleet gives what operators have set, not null
+     * @param logDown tells whether the log service fails this entry now, not null
      * @param metrics counts calls and retries, not null
      */
     public EntryNode(
@@ -100,6 +102,7 @@
             DispatchTerms terms,
             ScheduledExecutorService loop,
             Supplier<FleetView> fleet,
+            BooleanSupplier logDown,
             Metrics metrics) {
         this.address = address;
         this.log = log;
@@ -107,7 +110,7 @@
         this.loop = loop;
         this.fleet = fleet;
         this.metrics = metrics;
-        forwarder = new JobForwarder(http, () -> leader, loop, metrics);
+        forwarder = new JobForwarder(http, () -> leader, logDown, loop, metrics);
         entries.addAll(seeds);
         entries.add(address);
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -38,7 +38,7 @@
     private final Consumer<FleetView> listener;
     private final Backoff backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, new Random());
     private volatile FleetView view = FleetView.EMPTY;
-    private boolean failing;
+    private volatile boolean failing;
     private volatile boolean closed;
 
     /**
@@ -75,6 +75,15 @@
         return view;
     }
 
+    /**
+     * Tells whether the log service fails this process now.
+     *
+     * @return whether the last read has failed
+     */
+    public boolean failing() {
+        return failing;
+    }
+
     /** Starts to follow. */
     public void start() {
         readNewest();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.fescueloom.daemon.http.HttpAnswer;
 import org.fescueloom.daemon.http.HttpClient;
@@ -21,7 +22,7 @@
 /** Passes calls to the dispatcher, and looks for another one when it does not answer. */
 final class JobForwarder implements JobDesk {
     /** How long a call looks for the dispatcher before it is refused. */
-    static final long PATIENCE_MILLIS = 1_800;
+    static final long PATIENCE_MILLIS = 1_200;
 
     private static final long FORWARD_RETRY_MILLIS = 100;
 
@@ -44,6 +45,7 @@
 
     private final HttpClient http;
     private final Supplier<String> dispatcher;
+    private final BooleanSupplier logDown;
     private final ScheduledExecutorService loop;
     private final Metrics metrics;
 
@@ -52,16 +54,20 @@
      *
      * @param http sends the calls
      * @param dispatcher gives the address of the dispatcher; empty while there is none
+     * @param logDown tells whether the log service fails this entry as well, so that no other can
+     *     be expected to serve
      * @param loop runs the repeats
      * @param metrics counts the repeats
      */
     JobForwarder(
             HttpClient http,
             Supplier<String> dispatcher,
+            BooleanSupplier logDown,
             ScheduledExecutorService loop,
             Metrics metrics) {
         this.http = http;
         this.dispatcher = dispatcher;
+        this.logDown = logDown;
         this.loop = loop;
         this.metrics = metrics;
     }
@@ -162,7 +168,9 @@
             maybeDone |= failure.outcome() != Outcome.NOT_RUN;
             SchedulerException cause =
                     new SchedulerException(failure.error(), failure.detail(), RETRY_AFTER_MILLIS);
-            if (ANOTHER_MAY_SERVE.contains(failure.error())) {
+            boolean downForAll =
+                    failure.error() == FailureType.LOG_UNAVAILABLE && logDown.getAsBoolean();
+            if (ANOTHER_MAY_SERVE.contains(failure.error()) && !downForAll) {
                 later(cause);
             } else {
                 result.completeExceptionally(maybeDone ? unknown(cause) : cause);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRuns.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRuns.java
@@ -12,7 +12,8 @@
     /** Estimates are off by up to 1.9 times, single tasks of a step by twice that. */
     private static final double OVERDUE_FACTOR = 5.0;
 
-    private static final long OVERDUE_MARGIN_MILLIS = 3_000;
+    /** Estimates of short tasks say little: some of 0.3 s take 5 s. */
+    private static final long OVERDUE_MARGIN_MILLIS = 8_000;
 
     /** A run that checkpoints does so with each second of its work, at a quarter of full speed. */
     private static final long NO_PROGRESS_MILLIS = 4_500;
@@ -63,12 +64,13 @@
             if (now - run.progressMillis() > NO_PROGRESS_MILLIS) {
                 return "no-progress";
             }
-        } else if (elapsed > overdueMillis(agent, spec)) {
+        } else if (elapsed > overdueMillis(agent, spec) * run.number()) {
             return "overdue";
         }
         return leavesTooSoon(agent, spec, elapsed, now) ? "upstream-leaves" : null;
     }
 
+    /** Returns what a first run may take; each further run gets as much time again. */
     private static double overdueMillis(AgentView agent, StepSpec spec) {
         double slowness = Math.max(1.0, agent.health().slowness());
         return OVERDUE_FACTOR * slowness * spec.estimateMillis() + OVERDUE_MARGIN_MILLIS;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -346,6 +346,65 @@
         }
     }
 
+    @Nested
+    class Overdue {
+        private Submission withoutCheckpoints(long estimateMillis) {
+            StepSpec step =
+                    new StepSpec(
+                            1,
+                            ONE,
+                            estimateMillis,
+                            List.of(),
+                            false,
+                            false,
+                            "",
+                            "",
+                            0,
+                            false,
+                            false,
+                            false,
+                            "",
+                            0,
+                            false,
+                            0);
+            WorkSpec work = new WorkSpec("payload", List.of(step), 0, 0, 1);
+            return new Submission("j", "queue", "customer", "service", 0, work);
+        }
+
+        private long millisUntilStopped(Dispatcher dispatcher, Agent agent) {
+            long start = loop.nowMillis();
+            while (agent.exchange(dispatcher).stops().isEmpty()) {
+                assertThat(loop.nowMillis() - start).isLessThan(120_000);
+            }
+            return loop.nowMillis() - start;
+        }
+
+        @Test
+        void shortTasksAreGivenSecondsWhateverTheirEstimate() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            accept(dispatcher, withoutCheckpoints(300));
+            agent.exchange(dispatcher);
+
+            assertThat(millisUntilStopped(dispatcher, agent)).isGreaterThan(8_000);
+        }
+
+        @Test
+        void eachRunIsGivenMoreTimeThanTheOneBefore() {
+            Dispatcher dispatcher = claim();
+            Agent agent = new Agent("a");
+            accept(dispatcher, withoutCheckpoints(1_000));
+            agent.exchange(dispatcher);
+            long first = millisUntilStopped(dispatcher, agent);
+            agent.end(RunEnd.STOPPED);
+            while (agent.running.isEmpty()) {
+                agent.exchange(dispatcher);
+            }
+
+            assertThat(millisUntilStopped(dispatcher, agent)).isGreaterThan(first + 5_000);
+        }
+    }
+
     @Nested
     class TakingOver {
         @Test
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -50,7 +50,16 @@
         }
 
         void start(String address, List<String> seeds) {
-            node = new EntryNode(address, seeds, log, TERMS, loop, () -> FLEET, new Metrics());
+            node =
+                    new EntryNode(
+                            address,
+                            seeds,
+                            log,
+                            TERMS,
+                            loop,
+                            () -> FLEET,
+                            () -> false,
+                            new Metrics());
             node.routes(server);
             server.start();
             node.start();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
@@ -35,8 +35,9 @@
     private final ScheduledExecutorService loop = Timers.singleThread("test");
     private final AtomicInteger calls = new AtomicInteger();
     private volatile String dispatcher = "";
+    private volatile boolean logDown;
     private final JobForwarder forwarder =
-            new JobForwarder(http, () -> dispatcher, loop, new Metrics());
+            new JobForwarder(http, () -> dispatcher, () -> logDown, loop, new Metrics());
 
     private interface Reply {
         CompletableFuture<HttpReply> to(int call);
@@ -143,6 +144,16 @@
             assertThat(failure(forwarder.view("j", 1_300)).outcome()).isEqualTo(Outcome.NOT_RUN);
         }
 
+        @Test
+        void comeAtOnceWhileTheLogIsDownForAll() {
+            logDown = true;
+            serve(call -> refused(FailureType.LOG_UNAVAILABLE));
+
+            assertThat(failure(forwarder.submit(job(), WAIT_MILLIS)))
+                    .isEqualTo(FailureType.LOG_UNAVAILABLE);
+            assertThat(calls.get()).isEqualTo(1);
+        }
+
         @Test
         void ofRefusalsThatNobodyElseCanMendComeAtOnce() {
             serve(call -> refused(FailureType.INVALID_FIELD));
