--- a/fescueloom-core/src/main/java/org/fescueloom/fleet/UpstreamNotice.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/fleet/UpstreamNotice.java
@@ -68,16 +68,31 @@
      * @return the changed report, never null
      */
     public UpstreamNotice gone() {
+        return with(bornMillis, UpstreamState.GONE, leavesInMillis, sequence);
+    }
+
+    /**
+     * Returns the report of a later life of the same upstream that has said nothing else yet.
+     *
+     * @param newBornMillis when that life began, in milliseconds since 1970
+     * @return the changed report, never null
+     */
+    public UpstreamNotice rebornAt(long newBornMillis) {
+        return with(newBornMillis, UpstreamState.READY, 0, 0);
+    }
+
+    private UpstreamNotice with(
+            long newBornMillis, UpstreamState newState, long newLeavesInMillis, long newSequence) {
         return new UpstreamNotice(
                 instance,
-                bornMillis,
+                newBornMillis,
                 service,
                 zone,
-                UpstreamState.GONE,
+                newState,
                 capacity,
                 labels,
                 rack,
-                leavesInMillis,
-                sequence);
+                newLeavesInMillis,
+                newSequence);
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
@@ -135,8 +135,8 @@
         loop.execute(
                 () -> {
                     if (notice != null && notice.instance().equals(instance)) {
-                        takeNotice(notice.gone());
                         notice = notice.gone();
+                        EventLog.event("upstream-departed").field("boot", notice.boot()).info();
                         reportSoon();
                     }
                 });
@@ -348,13 +348,7 @@
     }
 
     private void started(StartOrder order, StartAnswer answer, Throwable error) {
-        EventLog.event("run-start")
-                .field("task", order.task())
-                .field("run", order.run())
-                .field("boot", order.boot())
-                .field("epoch", epoch)
-                .field("answer", answer == null ? Failures.causeOf(error) : answer)
-                .info();
+        note("run-start", order.task(), order.run(), order.boot(), answer, error);
         metrics.count("agent.starts." + (answer == null ? "unanswered" : answer));
         if (answer == null) {
             return;
@@ -373,6 +367,17 @@
         }
     }
 
+    private void note(
+            String event, String task, int run, String boot, StartAnswer answer, Throwable error) {
+        EventLog.event(event)
+                .field("task", task)
+                .field("run", run)
+                .field("boot", boot)
+                .field("epoch", epoch)
+                .field("answer", answer == null ? Failures.causeOf(error) : answer)
+                .info();
+    }
+
     private void addRunning(StartOrder order) {
         for (RunRow row : running) {
             if (row.task().equals(order.task()) && row.run() >= order.run()) {
@@ -401,13 +406,7 @@
     }
 
     private void stopped(StopOrder order, StartAnswer answer, Throwable error) {
-        EventLog.event("run-stop")
-                .field("task", order.task())
-                .field("run", order.run())
-                .field("boot", order.boot())
-                .field("epoch", epoch)
-                .field("answer", answer == null ? Failures.causeOf(error) : answer)
-                .info();
+        note("run-stop", order.task(), order.run(), order.boot(), answer, error);
         if (answer == StartAnswer.DONE && order.boot().equals(notice.boot())) {
             checkBarred(order);
         }
@@ -491,7 +490,7 @@
                     .field("boot", boot)
                     .field("born", answer.bornMillis())
                     .info();
-            takeNotice(rebornAt(answer.bornMillis()));
+            takeNotice(notice.rebornAt(answer.bornMillis()));
             return;
         }
         boolean news = !looked || !endNumbers(answer.ended()).equals(endNumbers(ended));
@@ -506,20 +505,6 @@
         }
     }
 
-    private UpstreamNotice rebornAt(long bornMillis) {
-        return new UpstreamNotice(
-                notice.instance(),
-                bornMillis,
-                notice.service(),
-                notice.zone(),
-                UpstreamState.READY,
-                notice.capacity(),
-                notice.labels(),
-                notice.rack(),
-                0,
-                0);
-    }
-
     private static Set<Long> endNumbers(List<EndRow> rows) {
         Set<Long> numbers = new HashSet<>();
         rows.forEach(row -> numbers.add(row.number()));
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -17,9 +17,7 @@
 import org.fescueloom.work.JobView;
 import org.fescueloom.work.Resources;
 import org.fescueloom.work.RunEnd;
-import org.fescueloom.work.StepSpec;
 import org.fescueloom.work.Submission;
-import org.fescueloom.work.WorkSpec;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -29,7 +27,6 @@
             new QueuePolicy("queue", "host", "/q/", "service", 1, 2, 3.0, 1_000, false);
     private static final FleetConfiguration CONFIGURATION =
             new FleetConfiguration(1, List.of(QUEUE), List.of());
-    private static final Resources ONE = new Resources(1_000, 100, 1);
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
     private final ManualLoop loop = new ManualLoop();
@@ -56,12 +53,7 @@
     }
 
     private static Submission job(String id, int tasks, boolean gang) {
-        StepSpec step =
-                new StepSpec(
-                        tasks, ONE, 1_000, List.of(), gang, gang, "", "", 0, true, false, false, "",
-                        0, false, 0);
-        WorkSpec work = new WorkSpec("payload", List.of(step), 0, 0, 1);
-        return new Submission(id, "queue", "customer", "service", 0, work);
+        return JobSamples.job(id, tasks, 1_000, gang, true);
     }
 
     /** Plays one agent with an upstream that does as it is told. */
@@ -349,26 +341,7 @@
     @Nested
     class Overdue {
         private Submission withoutCheckpoints(long estimateMillis) {
-            StepSpec step =
-                    new StepSpec(
-                            1,
-                            ONE,
-                            estimateMillis,
-                            List.of(),
-                            false,
-                            false,
-                            "",
-                            "",
-                            0,
-                            false,
-                            false,
-                            false,
-                            "",
-                            0,
-                            false,
-                            0);
-            WorkSpec work = new WorkSpec("payload", List.of(step), 0, 0, 1);
-            return new Submission("j", "queue", "customer", "service", 0, work);
+            return JobSamples.job("j", 1, estimateMillis, false, false);
         }
 
         private long millisUntilStopped(Dispatcher dispatcher, Agent agent) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -15,10 +15,6 @@
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.fleet.FleetConfiguration;
 import org.fescueloom.fleet.QueuePolicy;
-import org.fescueloom.work.Resources;
-import org.fescueloom.work.StepSpec;
-import org.fescueloom.work.Submission;
-import org.fescueloom.work.WorkSpec;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -101,30 +97,8 @@
         }
     }
 
-    private static Submission job(String id) {
-        StepSpec step =
-                new StepSpec(
-                        1,
-                        Resources.NONE,
-                        1,
-                        List.of(),
-                        false,
-                        false,
-                        "",
-                        "",
-                        0,
-                        false,
-                        false,
-                        false,
-                        "",
-                        0,
-                        false,
-                        0);
-        return new Submission(id, "q", "c", "s", 0, new WorkSpec("p", List.of(step), 0, 0, 1));
-    }
-
     private static boolean accepts(Entry entry, String id) {
-        CompletableFuture<Void> accepted = entry.node.desk().submit(job(id), 2_500);
+        CompletableFuture<Void> accepted = entry.node.desk().submit(JobSamples.single(id), 2_500);
         return accepted.handle((value, error) -> error == null).join();
     }
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
@@ -18,10 +18,7 @@
 import org.fescueloom.failure.Outcome;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.work.JobView;
-import org.fescueloom.work.Resources;
-import org.fescueloom.work.StepSpec;
 import org.fescueloom.work.Submission;
-import org.fescueloom.work.WorkSpec;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -59,25 +56,7 @@
     }
 
     private static Submission job() {
-        StepSpec step =
-                new StepSpec(
-                        1,
-                        Resources.NONE,
-                        1,
-                        List.of(),
-                        false,
-                        false,
-                        "",
-                        "",
-                        0,
-                        false,
-                        false,
-                        false,
-                        "",
-                        0,
-                        false,
-                        0);
-        return new Submission("j", "q", "c", "s", 0, new WorkSpec("p", List.of(step), 0, 0, 1));
+        return JobSamples.single("j");
     }
 
     private static CompletableFuture<HttpReply> refused(FailureType type) {
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobSamples.java
@@ -0,0 +1,44 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.List;
+import org.fescueloom.work.Resources;
+import org.fescueloom.work.StepSpec;
+import org.fescueloom.work.Submission;
+import org.fescueloom.work.WorkSpec;
+
+/** Makes jobs of one step for tests. */
+final class JobSamples {
+    private static final Resources ONE = new Resources(1_000, 100, 1);
+
+    private JobSamples() {}
+
+    /** Makes a job of one task that saves checkpoints. */
+    static Submission single(String id) {
+        return job(id, 1, 1_000, false, true);
+    }
+
+    /** Makes a job of one step. */
+    static Submission job(
+            String id, int tasks, long estimateMillis, boolean gang, boolean checkpoints) {
+        StepSpec step =
+                new StepSpec(
+                        tasks,
+                        ONE,
+                        estimateMillis,
+                        List.of(),
+                        gang,
+                        gang,
+                        "",
+                        "",
+                        0,
+                        checkpoints,
+                        false,
+                        false,
+                        "",
+                        0,
+                        false,
+                        0);
+        WorkSpec work = new WorkSpec("payload", List.of(step), 0, 0, 1);
+        return new Submission(id, "queue", "customer", "service", 0, work);
+    }
+}
