--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/TaskScheduler.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/TaskScheduler.java
@@ -11,10 +11,11 @@
 /**
  * Plans one round.
  *
- * <p>Units are served by priority, then by the time at which their job should be done. Units of
- * priority 0 may stop less urgent ones, and those within the guarantee of their customer also
- * urgent ones of customers that have borrowed more than theirs. The room that a stop gives back is
- * kept for the unit that asked for it, because the next round finds it in the same order.
+ * <p>Units are served by priority, then those that can be in time before those that will be late,
+ * then by the time at which their job should be done. Units of priority 0 may stop less urgent
+ * ones, and those within the guarantee of their customer also urgent ones of customers that have
+ * borrowed more than theirs. The room that a stop gives back is kept for the unit that asked for
+ * it, because the next round finds it in the same order.
  */
 public final class TaskScheduler {
     private static final int PREEMPTING_PRIORITY = 0;
@@ -60,6 +61,7 @@
         ranked.sort(
                 Comparator.comparingInt(WaitingUnit::priority)
                         .thenComparing(WaitingUnit::guaranteed, Comparator.reverseOrder())
+                        .thenComparing(WaitingUnit::prospect)
                         .thenComparingLong(WaitingUnit::objectiveMillis)
                         .thenComparing(WaitingUnit::job)
                         .thenComparingInt(WaitingUnit::occurrence)
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
@@ -17,6 +17,7 @@
  * @param service the service that runs it, not null
  * @param customer the customer, not null
  * @param priority the priority of its queue; 0 comes first
+ * @param prospect what can still become of the job, not null
  * @param objectiveMillis when the job should be done, on the clock of the caller, in milliseconds
  * @param waitedMillis how long the tasks have waited, in milliseconds
  * @param guaranteed whether all urgent jobs of the customer fit into what it is guaranteed
@@ -33,6 +34,7 @@
         String service,
         String customer,
         int priority,
+        Prospect prospect,
         long objectiveMillis,
         long waitedMillis,
         boolean guaranteed,
@@ -45,6 +47,7 @@
         Objects.requireNonNull(spec, "spec");
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(customer, "customer");
+        Objects.requireNonNull(prospect, "prospect");
         indexes = List.copyOf(indexes);
         failedOn = Set.copyOf(failedOn);
         perUpstream = Map.copyOf(perUpstream);
@@ -78,6 +81,7 @@
                 service,
                 customer,
                 priority,
+                prospect,
                 objectiveMillis,
                 waitedMillis,
                 guaranteed,
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -40,6 +40,7 @@
                 "s",
                 "c",
                 priority,
+                Prospect.IN_TIME,
                 1_000,
                 waited,
                 false,
@@ -130,6 +131,7 @@
                             "s",
                             "c",
                             0,
+                            Prospect.IN_TIME,
                             1_000,
                             0,
                             true,
@@ -161,6 +163,7 @@
                             "s",
                             "c",
                             0,
+                            Prospect.IN_TIME,
                             1_000,
                             0,
                             true,
@@ -204,6 +207,51 @@
         }
     }
 
+    @Nested
+    class Overload {
+        private WaitingUnit waiting(String job, Prospect prospect, long objective) {
+            return new WaitingUnit(
+                    job,
+                    0,
+                    0,
+                    List.of(0),
+                    WorkSamples.step(1, NODE),
+                    "s",
+                    "c",
+                    1,
+                    prospect,
+                    objective,
+                    0,
+                    false,
+                    false,
+                    Set.of(),
+                    Map.of());
+        }
+
+        @Test
+        void servesWhatCanBeInTimeBeforeWhatIsLate() {
+            List<WaitingUnit> units =
+                    List.of(
+                            waiting("hopeless", Prospect.HOPELESS, 10),
+                            waiting("late", Prospect.LATE, 20),
+                            waiting("in-time", Prospect.IN_TIME, 30));
+            List<UpstreamRoom> rooms = List.of(room("x", "r1", NODE), room("y", "r1", NODE));
+
+            SchedulePlan plan = TaskScheduler.plan(units, List.of(), rooms);
+
+            assertThat(plan.starts())
+                    .extracting(start -> start.unit().job())
+                    .containsExactly("in-time", "late");
+        }
+
+        @Test
+        void judgesByTheObjective() {
+            assertThat(Prospect.of(1_000, 2_000, 2_000)).isEqualTo(Prospect.IN_TIME);
+            assertThat(Prospect.of(1_000, 2_000, 4_000)).isEqualTo(Prospect.LATE);
+            assertThat(Prospect.of(1_000, 2_000, 4_001)).isEqualTo(Prospect.HOPELESS);
+        }
+    }
+
     @Nested
     class UnequalUpstreams {
         private final StepSpec single = WorkSamples.step(1, GPU);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.fescueloom.fleet.QueuePolicy;
 import org.fescueloom.fleet.UpstreamNotice;
+import org.fescueloom.schedule.Prospect;
 import org.fescueloom.schedule.RunningUnit;
 import org.fescueloom.schedule.UpstreamRoom;
 import org.fescueloom.schedule.WaitingUnit;
@@ -145,6 +146,7 @@
                         queue.map(QueuePolicy::service).orElse(submission.service()),
                         submission.customer(),
                         priority(job),
+                        Prospect.of(due, objective, dateMillis + spec.estimateMillis()),
                         objective,
                         Math.max(0, dateMillis - due),
                         guaranteed(job),
