--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -34,10 +34,10 @@
     /** The topic in which entries tell where they are reached. */
     static final String ENTRIES_TOPIC = "keyed.entries";
 
-    private static final long TICK_MILLIS = 100;
+    private static final long TICK_MILLIS = 50;
 
     /** How long other entries are given to say that they hear the dispatcher. */
-    private static final long ASK_MILLIS = 100;
+    private static final long ASK_MILLIS = 50;
 
     /** How often the dispatcher is asked whether it lives. */
     private static final long HELLO_MILLIS = 400;
