Refuse jobs that ask for what is not built, and use the usual names

Change: fillers, limits of unavailable tasks and queues with an adviser are answered 503 (not-supported) instead of being run without their promises. Interfaces and comments carry the field's terms; no behaviour changes by that.

--- a/fescueloom-core/src/main/java/org/fescueloom/failure/FailureType.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/failure/FailureType.java
@@ -84,6 +84,8 @@
     WORKER_INVALID_ANSWER(502, Outcome.UNKNOWN),
     /** Not all members of a gang could be started within the bound. */
     GANG_START_INCOMPLETE(503, Outcome.NOT_RUN),
+    /** The job asks for something that this version cannot do. */
+    NOT_SUPPORTED(503, Outcome.NOT_RUN),
     /** Another entry dispatches jobs now, or none does. */
     NOT_DISPATCHER(503, Outcome.NOT_RUN),
     /** No customer holds the key of the request. */
--- a/fescueloom-core/src/main/java/org/fescueloom/fleet/QueuePolicy.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/fleet/QueuePolicy.java
@@ -14,6 +14,7 @@
  * @param slackFactor how many times its longest chain of work a job may take
  * @param answerMillis what is added to that, in milliseconds
  * @param open whether callers need no key
+ * @param advised whether another service decides which upstreams may run its steps
  */
 public record QueuePolicy(
         String name,
@@ -24,7 +25,8 @@
         int attempts,
         double slackFactor,
         long answerMillis,
-        boolean open) {
+        boolean open,
+        boolean advised) {
     /** Checks the values. */
     public QueuePolicy {
         Objects.requireNonNull(name, "name");
--- a/fescueloom-core/src/main/java/org/fescueloom/work/WorkSpec.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/work/WorkSpec.java
@@ -71,6 +71,16 @@
         return startAtMillis > 0 || occurrences > 1;
     }
 
+    /**
+     * Tells whether the job asks for what the scheduler cannot promise yet: tasks that fill, or
+     * tasks of which only so many may be away at once.
+     *
+     * @return whether the job must be refused
+     */
+    public boolean unsupported() {
+        return steps.stream().anyMatch(step -> step.filler() || step.maxUnavailable() > 0);
+    }
+
     /**
      * Returns the work of one occurrence.
      *
--- a/fescueloom-core/src/test/java/org/fescueloom/fleet/FleetConfigurationTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/fleet/FleetConfigurationTest.java
@@ -8,7 +8,7 @@
 
 class FleetConfigurationTest {
     private static QueuePolicy queue(String name, String prefix) {
-        return new QueuePolicy(name, "host", prefix, "s", 0, 1, 1, 0, false);
+        return new QueuePolicy(name, "host", prefix, "s", 0, 1, 1, 0, false, false);
     }
 
     private final FleetConfiguration configuration =
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
@@ -127,7 +127,7 @@
     }
 
     /**
-     * Takes the farewell of an upstream.
+     * Takes the deregistration of an upstream.
      *
      * @param instance its identifier, not null; another one than the present has no effect
      */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
@@ -6,7 +6,7 @@
 import org.fescueloom.json.Json;
 
 /**
- * Claims the office of the dispatcher in the log and reads what is kept there.
+ * Claims leadership in the log and reads what is kept there.
  *
  * <p>The offset behind the claim is the epoch: each later claim has a higher one. From then on
  * nobody else can append without being noticed, so the pages that are read do not change.
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -43,7 +43,7 @@
     private static final long RETRY_MILLIS = 1_000;
 
     private final DispatchState state;
-    private final OrderDesk orders;
+    private final OrderIssuer orders;
     private final RunTracker runs;
     private final JobIntake intake;
     private final StuckRuns stuckRuns;
@@ -79,7 +79,7 @@
         state =
                 new DispatchState(
                         start.epoch(), start.jobs(), terms, fleet, contact, writer, metrics);
-        orders = new OrderDesk(state, entries);
+        orders = new OrderIssuer(state, entries);
         runs = new RunTracker(state, orders);
         intake = new JobIntake(state, loop, this::plan);
         stuckRuns = new StuckRuns(state);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -24,10 +24,10 @@
 import org.fescueloom.work.Submission;
 
 /**
- * Takes part in the choice of the dispatcher and passes calls to it.
+ * Takes part in the election of the dispatcher and passes calls to it.
  *
  * <p>An entry that has not heard from the dispatcher for a while asks the other entries, and claims
- * the office if none of them hears it. A wrong suspicion costs a change of the dispatcher and
+ * leadership if none of them hears it. A wrong suspicion costs a change of the dispatcher and
  * breaks no promise: the log refuses the appends of the one that was replaced.
  */
 public final class EntryNode {
@@ -155,7 +155,7 @@
         loop.execute(() -> entries.addAll(seeds));
     }
 
-    /** Gives the office up, if this entry holds it, and ends all calls. */
+    /** Gives leadership up, if this entry holds it, and ends all calls. */
     public void close() {
         loop.execute(
                 () -> {
@@ -169,7 +169,7 @@
     /**
      * Tells whether this entry dispatches.
      *
-     * @return whether it holds the office as far as it knows
+     * @return whether it is the dispatcher as far as it knows
      */
     public boolean dispatches() {
         return dispatcher != null;
@@ -185,11 +185,11 @@
     }
 
     /**
-     * Returns the desk that passes calls to the dispatcher, wherever it is.
+     * Returns the interface that passes calls to the dispatcher, wherever it is.
      *
-     * @return the desk, never null
+     * @return the interface, never null
      */
-    public JobDesk desk() {
+    public JobApi jobApi() {
         return forwarder;
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobDesk.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobApi.java
@@ -10,7 +10,7 @@
  * <p>Futures fail with a {@link org.fescueloom.failure.SchedulerException}; its type tells whether
  * the call has surely had no effect.
  */
-public interface JobDesk {
+public interface JobApi {
     /**
      * Accepts a job.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -20,7 +20,7 @@
 import org.fescueloom.work.Submission;
 
 /** Passes calls to the dispatcher, and looks for another one when it does not answer. */
-final class JobForwarder implements JobDesk {
+final class JobForwarder implements JobApi {
     /** How long a call looks for the dispatcher before it is refused. */
     static final long PATIENCE_MILLIS = 1_200;
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
@@ -18,7 +18,7 @@
     /** The log that holds jobs and the claims of dispatchers. */
     static final String TOPIC = "keyed.jobs";
 
-    /** The key under which dispatchers claim their office. */
+    /** The key under which an entry claims to be the dispatcher. */
     static final String CLAIM_KEY = "dispatcher";
 
     private static final String SUBMISSION_PREFIX = "j/";
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderDesk.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
@@ -7,7 +7,7 @@
 import org.fescueloom.work.WorkJob;
 
 /** Answers the reports of agents: at once if there is something to do, otherwise after a while. */
-final class OrderDesk {
+final class OrderIssuer {
     /** How long a report waits for orders. */
     private static final long REPORT_WAIT_MILLIS = 1_000;
 
@@ -17,7 +17,7 @@
     private final DispatchState state;
     private final Supplier<List<String>> entries;
 
-    OrderDesk(DispatchState state, Supplier<List<String>> entries) {
+    OrderIssuer(DispatchState state, Supplier<List<String>> entries) {
         this.state = state;
         this.entries = entries;
     }
@@ -93,7 +93,7 @@
                 run.markOrdered(now);
             }
         }
-        addStrangers(agent, stops);
+        addUnknownRuns(agent, stops);
         boolean granted = proven && agent.looking();
         if (granted) {
             agent.granted(now);
@@ -114,7 +114,7 @@
     }
 
     /** Stops what runs on the upstream without a record. */
-    private static void addStrangers(AgentView agent, List<StopOrder> stops) {
+    private static void addUnknownRuns(AgentView agent, List<StopOrder> stops) {
         if (agent.report() == null || agent.notice() == null) {
             return;
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -20,11 +20,11 @@
 /** Takes in what agents report of runs, and draws the consequences for tasks and jobs. */
 final class RunTracker {
     private final DispatchState state;
-    private final OrderDesk orders;
+    private final OrderIssuer orders;
     private final Set<String> failedGangRuns = new HashSet<>();
     private final Map<String, Set<String>> failedOn = new HashMap<>();
 
-    RunTracker(DispatchState state, OrderDesk orders) {
+    RunTracker(DispatchState state, OrderIssuer orders) {
         this.state = state;
         this.orders = orders;
     }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -27,7 +27,7 @@
             new FleetView(
                     new FleetConfiguration(
                             1,
-                            List.of(new QueuePolicy("q", "h", "/", "s", 0, 1, 2, 0, true)),
+                            List.of(new QueuePolicy("q", "h", "/", "s", 0, 1, 2, 0, true, false)),
                             List.of()),
                     Set.of(),
                     0);
@@ -98,7 +98,7 @@
     }
 
     private static boolean accepts(Entry entry, String id) {
-        CompletableFuture<Void> accepted = entry.node.desk().submit(JobSamples.single(id), 2_500);
+        CompletableFuture<Void> accepted = entry.node.jobApi().submit(JobSamples.single(id), 2_500);
         return accepted.handle((value, error) -> error == null).join();
     }
 
