Read the steady clock and the step of a task in one place each

Cause: two classes read the steady clock by a copy of Clocks.monotonicMillis, RoundInput had its own copy of DispatchState.stepOf, and two members had no reader (AssignedRun.assignedMillis, WorkSpec.scheduled). Change: the copies call the shared methods, the members are removed. Behaviour stays as it is. Checked: formatter and linter of all modules; the tests of dispatch, platform, jobs of tasks and the scheduler, all passed.

--- a/fescueloom-core/src/main/java/org/fescueloom/work/WorkSpec.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/work/WorkSpec.java
@@ -62,15 +62,6 @@
         return startAtMillis + occurrence * intervalMillis;
     }
 
-    /**
-     * Tells whether the job has times.
-     *
-     * @return whether it starts at a given time or more than once
-     */
-    public boolean scheduled() {
-        return startAtMillis > 0 || occurrences > 1;
-    }
-
     /**
      * Tells whether the job asks for what the scheduler cannot promise yet: tasks that fill, or
      * tasks of which only so many may be away at once.
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
@@ -11,6 +11,7 @@
 import java.util.UUID;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.fescueloom.daemon.cluster.Clocks;
 import org.fescueloom.daemon.http.HttpAnswer;
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.logging.EventLog;
@@ -217,7 +218,7 @@
             return;
         }
         reportsPending++;
-        long now = now();
+        long now = Clocks.monotonicMillis();
         String target = dispatcher;
         UpstreamNotice about = notice;
         long clockAtSend = looked ? clockMillis + (long) ((now - clockReadMillis) * SLOW_CLOCK) : 0;
@@ -497,7 +498,7 @@
         boolean runsChanged = !runNames(answer.running()).equals(runNames(running));
         looked = true;
         clockMillis = answer.clockMillis();
-        clockReadMillis = now();
+        clockReadMillis = Clocks.monotonicMillis();
         running = answer.running();
         ended = answer.ended();
         if (news || runsChanged) {
@@ -516,8 +517,4 @@
         rows.forEach(row -> names.add(runName(row.task(), row.run())));
         return names;
     }
-
-    private static long now() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
@@ -9,7 +9,6 @@
     private final int number;
     private final String boot;
     private final Resources room;
-    private final long assignedMillis;
     private final boolean fresh;
     private boolean stored;
     private boolean seen;
@@ -19,18 +18,11 @@
     private String checkpoint = "";
     private long progressMillis;
 
-    AssignedRun(
-            TaskKey task,
-            int number,
-            String boot,
-            Resources room,
-            long assignedMillis,
-            boolean fresh) {
+    AssignedRun(TaskKey task, int number, String boot, Resources room, boolean fresh) {
         this.task = task;
         this.number = number;
         this.boot = boot;
         this.room = room;
-        this.assignedMillis = assignedMillis;
         this.fresh = fresh;
     }
 
@@ -50,10 +42,6 @@
         return room;
     }
 
-    long assignedMillis() {
-        return assignedMillis;
-    }
-
     /** Tells whether the run began here without a checkpoint, so that its time can be compared. */
     boolean fresh() {
         return fresh;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
@@ -127,7 +127,6 @@
                                 task.run(),
                                 task.placement().boot(),
                                 stepOf(job, key).room(),
-                                startedMillis,
                                 false);
                 run.markStored();
                 if (job.phase().ended()) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -253,8 +253,7 @@
             int number = unit.spec().gang() ? gangRun : task.run() + 1;
             job.put(key, task.assigned(number, new Placement(agent.name(), agent.boot())));
             boolean fresh = task.checkpoint().isEmpty();
-            AssignedRun run =
-                    new AssignedRun(key, number, agent.boot(), unit.spec().room(), now, fresh);
+            AssignedRun run = new AssignedRun(key, number, agent.boot(), unit.spec().room(), fresh);
             agent.runs().put(key.toString(), run);
             assigned.add(run);
             noteAssigned(unit, run, agent, now);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.fescueloom.daemon.cluster.Clocks;
 import org.fescueloom.daemon.http.HttpAnswer;
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.metrics.Metrics;
@@ -110,7 +111,12 @@
             String method, String path, Object body, long waitMillis) {
         long patience = Math.min(waitMillis, PATIENCE_MILLIS);
         Forwarding forwarding =
-                new Forwarding(method, path, body, now() + waitMillis, now() + patience);
+                new Forwarding(
+                        method,
+                        path,
+                        body,
+                        Clocks.monotonicMillis() + waitMillis,
+                        Clocks.monotonicMillis() + patience);
         forwarding.attempt();
         return forwarding.result;
     }
@@ -135,7 +141,7 @@
 
         void attempt() {
             String target = dispatcher.get();
-            long left = deadline - now();
+            long left = deadline - Clocks.monotonicMillis();
             if (target.isEmpty() || left <= 0) {
                 later(Dispatcher.notDispatcher());
                 return;
@@ -180,7 +186,7 @@
         private void later(SchedulerException cause) {
             // A call that may have had an effect is worth waiting for: a repeat finds out.
             long end = maybeDone ? deadline - FORWARD_RETRY_MILLIS : patienceEnd;
-            if (now() + FORWARD_RETRY_MILLIS < end) {
+            if (Clocks.monotonicMillis() + FORWARD_RETRY_MILLIS < end) {
                 metrics.countRetry(cause.type());
                 loop.schedule(this::attempt, FORWARD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             } else {
@@ -202,8 +208,4 @@
                     FailureType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, "status " + answer.status());
         }
     }
-
-    private static long now() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
@@ -186,7 +186,7 @@
         for (AssignedRun run : runOfTask.values()) {
             WorkJob job = jobs.get(run.task().job());
             if (job != null) {
-                StepSpec spec = spec(job, run.task());
+                StepSpec spec = DispatchState.stepOf(job, run.task());
                 groups.computeIfAbsent(groupOf(run.task(), spec), id -> new ArrayList<>()).add(run);
             }
         }
@@ -207,16 +207,12 @@
                 : task.toString();
     }
 
-    private static StepSpec spec(WorkJob job, TaskKey task) {
-        return job.submission().work().steps().get(task.step());
-    }
-
     private RunningUnit runningUnit(String id, List<AssignedRun> runs, WorkJob job) {
         Map<String, Resources> room = new HashMap<>();
         double loss = 0;
         for (AssignedRun run : runs) {
             room.merge(agentOfTask.get(run.task()), run.room(), Resources::plus);
-            loss += loss(run, spec(job, run.task()));
+            loss += loss(run, DispatchState.stepOf(job, run.task()));
         }
         return new RunningUnit(
                 id, job.submission().customer(), priority(job), guaranteed(job), room, loss);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StoreContact.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StoreContact.java
@@ -1,6 +1,6 @@
 package org.fescueloom.daemon.dispatch;
 
-import java.util.concurrent.TimeUnit;
+import org.fescueloom.daemon.cluster.Clocks;
 
 /**
  * Remembers when the log service last showed that nobody has taken over.
@@ -34,8 +34,7 @@
 
     /** Creates one on the clocks of the process. */
     static StoreContact onSystemClocks() {
-        return new StoreContact(
-                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), System::currentTimeMillis);
+        return new StoreContact(Clocks::monotonicMillis, System::currentTimeMillis);
     }
 
     /** Returns the present moment, to be handed to {@link #confirm} after the answer. */
