Let no late claim or withdrawal undo a newer claim of the same run

Cause, found by a walk over message orders (ClaimWalkTest, two runs after 49 orders): both runs lose their first claims, join each other's attempt, learn that it never ran and claim again under the same run. The withdrawal of the first claim named only the run, so one that was overtaken removed the second, granted claim, and the other run was granted it too. A repeated claim of the first attempt that is carried out late replaced the second one the same way.

Ruled out: the tally (a majority of vouched grants), and entries with different lists of holders, which the test does not have.

Change: a withdrawal names the attempt; a claim never replaces that of a later attempt of its run. The names of attempts in ClaimRegistryTest take the form that the code now reads; its checks are as before.

Before: the walk fails.

--- a/fescueloom-core/src/main/java/org/fescueloom/request/ClaimRegistry.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/request/ClaimRegistry.java
@@ -50,10 +50,12 @@
     /**
      * Records a claim unless another run has the identifier.
      *
-     * @param claim the claim, not null; a claim of the same run replaces its former one
+     * @param claim the claim, not null; a claim of the same run replaces that of an earlier
+     *     attempt, and never that of a later one, which it may have been overtaken by
      * @param nowNanos the time
      * @return whether it was granted, and the claim that holds now, never null
-     * @throws SchedulerException with type {@code CLAIM_UNAVAILABLE} if there is no room
+     * @throws SchedulerException with type {@code CLAIM_UNAVAILABLE} if there is no room; with type
+     *     {@code MALFORMED_INPUT} if the attempt has another form than {@link AttemptId}
      */
     public ClaimReply claim(RequestClaim claim, long nowNanos) {
         Objects.requireNonNull(claim, "claim");
@@ -73,15 +75,16 @@
     }
 
     /**
-     * Removes the claim of a run that never sent an attempt.
+     * Removes the claim of an attempt that was never sent; a later claim of the same run stays,
+     * since a withdrawal may be overtaken by it.
      *
      * @param request the identifier of the request, not null
-     * @param run the identifier of the run, not null
-     * @return false if the run does not have the identifier
+     * @param attempt the identifier of the attempt, not null
+     * @return false if another attempt or none has the identifier
      */
-    public boolean withdraw(String request, String run) {
+    public boolean withdraw(String request, String attempt) {
         Held held = claims.get(request);
-        if (held == null || !held.claim().run().equals(run)) {
+        if (held == null || !held.claim().attempt().equals(attempt)) {
             return false;
         }
         claims.remove(request);
@@ -98,8 +101,14 @@
     }
 
     private static boolean mayReplace(RequestClaim claim, RequestClaim held) {
-        return held.run().equals(claim.run())
-                || held.attempt().equals(claim.replaces()) && held.digest().equals(claim.digest());
+        if (held.run().equals(claim.run())) {
+            return sequence(claim) >= sequence(held);
+        }
+        return held.attempt().equals(claim.replaces()) && held.digest().equals(claim.digest());
+    }
+
+    private static long sequence(RequestClaim claim) {
+        return AttemptId.parse(claim.attempt()).sequence();
     }
 
     private void expire(long nowNanos) {
--- a/fescueloom-core/src/test/java/org/fescueloom/request/ClaimRegistryTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/request/ClaimRegistryTest.java
@@ -41,7 +41,7 @@
             tallies.add(new ClaimTally(3));
             for (int holder = 0; holder < 3; holder++) {
                 if (random.nextInt(4) > 0) {
-                    messages.add(new Message(claim("run" + run, "a" + run, null), holder));
+                    messages.add(new Message(claim("run" + run, "a.1." + run, null), holder));
                 }
             }
         }
@@ -61,11 +61,11 @@
     void neverLetsBothATakeOverAndARetryOfTheOwnerWin(@ForAll long seed) {
         Random random = new Random(seed);
         List<ClaimRegistry> holders = holders();
-        holders.forEach(h -> h.claim(claim("owner", "a1", null), 0));
+        holders.forEach(h -> h.claim(claim("owner", "a.1.1", null), 0));
         List<Message> messages = new ArrayList<>();
         for (int holder = 0; holder < 3; holder++) {
-            messages.add(new Message(claim("owner", "a2", null), holder));
-            messages.add(new Message(claim("other", "b1", "a1"), holder));
+            messages.add(new Message(claim("owner", "a.1.2", null), holder));
+            messages.add(new Message(claim("other", "b.1.1", "a.1.1"), holder));
         }
         Collections.shuffle(messages, random);
         ClaimTally owner = new ClaimTally(3);
@@ -102,16 +102,16 @@
         int missed = random.nextInt(3);
         int restarted = (missed + 1 + random.nextInt(2)) % 3;
         int silent = random.nextInt(4);
-        assertThat(ask(holders, claim("first", "a1", null), missed, random))
+        assertThat(ask(holders, claim("first", "a.1.1", null), missed, random))
                 .isEqualTo(ClaimTally.Verdict.CLAIMED);
         holders.set(restarted, new ClaimRegistry(300 * SECOND, 10, 300 * SECOND));
-        assertThat(ask(holders, claim("repeat", "b1", null), silent, random))
+        assertThat(ask(holders, claim("repeat", "b.1.1", null), silent, random))
                 .isNotEqualTo(ClaimTally.Verdict.CLAIMED);
     }
 
     @Test
     void passesNoRepeatAfterAllAgentsRestarted() {
-        assertThat(ask(restarted(), claim("repeat", "b1", null), -1, new Random(1)))
+        assertThat(ask(restarted(), claim("repeat", "b.1.1", null), -1, new Random(1)))
                 .isEqualTo(ClaimTally.Verdict.FAILED);
     }
 
@@ -129,19 +129,35 @@
 
         @Test
         void staysWithTheFirstRunUntilItIsForgotten() {
-            assertThat(registry.claim(claim("one", "a1", null), 0).granted()).isTrue();
-            ClaimReply second = registry.claim(claim("two", "b1", null), 299 * SECOND);
+            assertThat(registry.claim(claim("one", "a.1.1", null), 0).granted()).isTrue();
+            ClaimReply second = registry.claim(claim("two", "b.1.1", null), 299 * SECOND);
             assertThat(second.granted()).isFalse();
-            assertThat(second.holder().attempt()).isEqualTo("a1");
-            assertThat(registry.claim(claim("two", "b1", null), 301 * SECOND).granted()).isTrue();
+            assertThat(second.holder().attempt()).isEqualTo("a.1.1");
+            assertThat(registry.claim(claim("two", "b.1.1", null), 301 * SECOND).granted())
+                    .isTrue();
         }
 
         @Test
-        void canBeWithdrawnByItsRunOnly() {
-            registry.claim(claim("one", "a1", null), 0);
-            assertThat(registry.withdraw("r", "two")).isFalse();
-            assertThat(registry.withdraw("r", "one")).isTrue();
+        void canBeWithdrawnByItsAttemptOnly() {
+            registry.claim(claim("one", "a.1.1", null), 0);
+            assertThat(registry.withdraw("r", "b.1.1")).isFalse();
+            assertThat(registry.withdraw("r", "a.1.1")).isTrue();
             assertThat(registry.size()).isZero();
         }
+
+        @Test
+        void outlivesTheLateWithdrawalOfAnEarlierAttempt() {
+            registry.claim(claim("one", "a.1.1", null), 0);
+            registry.claim(claim("one", "a.1.2", null), 0);
+            assertThat(registry.withdraw("r", "a.1.1")).isFalse();
+            assertThat(registry.claim(claim("two", "b.1.1", null), 0).granted()).isFalse();
+        }
+
+        @Test
+        void isNotReplacedByALateClaimOfAnEarlierAttempt() {
+            registry.claim(claim("one", "a.1.2", null), 0);
+            assertThat(registry.claim(claim("one", "a.1.1", null), 0).granted()).isFalse();
+            assertThat(registry.claim(claim("two", "b.1.1", "a.1.1"), 0).granted()).isFalse();
+        }
     }
 }
--- a/fescueloom-core/src/test/java/org/fescueloom/request/ClaimRestartTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/request/ClaimRestartTest.java
@@ -18,7 +18,7 @@
     }
 
     private static RequestClaim claim(String run) {
-        return new RequestClaim("r", run, "digest", run + ".1", "u", "127.0.0.1:1", 1L, null);
+        return new RequestClaim("r", run, "digest", run + ".1.1", "u", "127.0.0.1:1", 1L, null);
     }
 
     @Nested
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AgentService.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/agent/AgentService.java
@@ -196,10 +196,10 @@
     }
 
     private CompletableFuture<HttpReply> withdrawClaim(HttpCall call) {
-        String run = call.query("run").orElse("");
+        String attempt = call.query("attempt").orElse("");
         boolean removed;
         synchronized (claims) {
-            removed = claims.withdraw(call.path("request"), run);
+            removed = claims.withdraw(call.path("request"), attempt);
         }
         return CompletableFuture.completedFuture(HttpReply.json(Map.of("removed", removed)));
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/ClaimClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/entry/ClaimClient.java
@@ -85,7 +85,7 @@
      * @param claim the claim, not null
      */
     void withdraw(RequestClaim claim) {
-        String path = "/internal/claims/" + claim.request() + "?run=" + claim.run();
+        String path = "/internal/claims/" + claim.request() + "?attempt=" + claim.attempt();
         for (Member holder : holders(claim.request())) {
             Request request = HttpClient.request("DELETE", holder.address(), path, null).build();
             pooled.send(request, SECOND_TIMEOUT);
