Learn the speed of upstreams apart from the errors of estimates

Ruled out: waiting (16 ms from accepted to assigned), starts and stops.

Change: the ratio of run time to estimate is a product of the step's error and the upstream's slowness, and each end corrects both by their uncertainty. A run that takes longer than its step can need shows a slow upstream before it ends. Runs away from their data are left out. Single tasks with time to spare go first to upstreams of unknown speed, one each.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
@@ -116,7 +116,7 @@
                     candidates.stream()
                             .filter(u -> need.fitsIn(left.get(u.agent())))
                             .filter(u -> underLimit(unit.spec(), used, u.agent()))
-                            .min(byPreference(unit, left));
+                            .min(byPreference(unit, left, used));
             if (best.isEmpty()) {
                 break;
             }
@@ -135,13 +135,21 @@
 
     /** Prefers upstreams by speed, and among equals the one with the least room left. */
     private static Comparator<UpstreamRoom> byPreference(
-            WaitingUnit unit, Map<String, Resources> left) {
-        return Comparator.comparingDouble((UpstreamRoom u) -> preference(unit, u))
+            WaitingUnit unit, Map<String, Resources> left, Map<String, Integer> used) {
+        return Comparator.comparing((UpstreamRoom u) -> !proves(unit, u, used))
+                .thenComparingDouble(u -> preference(unit, u))
                 .thenComparingLong(u -> left.get(u.agent()).accelerators())
                 .thenComparingLong(u -> left.get(u.agent()).cpuMillis())
                 .thenComparing(UpstreamRoom::agent);
     }
 
+    /** Single tasks with time to spare show how fast an upstream is before it matters. */
+    private static boolean proves(
+            WaitingUnit unit, UpstreamRoom upstream, Map<String, Integer> used) {
+        boolean first = used.getOrDefault(upstream.agent(), 0) == 0;
+        return upstream.unproven() && first && !unit.spec().gang() && !unit.pressing();
+    }
+
     /** Ranks fast upstreams first for pressing units; others leave the fast ones to those. */
     private static double preference(WaitingUnit unit, UpstreamRoom upstream) {
         double slowness = slownessClass(upstream.slowness());
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
@@ -6,14 +6,26 @@
  * <p>Mutable and not thread-safe. Times are milliseconds on a steady clock of the owner.
  */
 public final class UpstreamHealth {
-    /** How much one run on a single upstream counts against what was known. */
-    private static final double SINGLE_WEIGHT = 0.4;
+    /** Upstreams of one service are seen to differ by a factor of about two and a half. */
+    private static final double SPEED_VARIANCE = 0.15;
 
-    /** How much a run of a gang counts, whose pace another upstream may have set. */
-    private static final double SHARED_WEIGHT = 0.15;
+    /** Tasks of one step on one upstream differ by about a fifth. */
+    private static final double RUN_VARIANCE = 0.05;
 
-    /** Estimates are off by up to this factor, so one run says no more than that. */
-    private static final double MAX_RATIO = 4.0;
+    /** A slow run of a gang says little of each member: any of them may have set its pace. */
+    private static final double GANG_VARIANCE = 0.6;
+
+    /** A run says no more than that it took this many times its estimate, or the inverse. */
+    private static final double MAX_RATIO = 6.0;
+
+    /** A run that stands still tells of its task, so it does not count beyond this slowness. */
+    private static final double MAX_SLOWNESS = 4.0;
+
+    /** Upstreams turn slow and fast again within half a minute. */
+    private static final double AGING_PER_MILLI = SPEED_VARIANCE / 30_000;
+
+    /** Below this much of the first uncertainty, a speed counts as known. */
+    private static final double KNOWN_VARIANCE = 0.9 * SPEED_VARIANCE;
 
     /** One failure may be the fault of the job; from this many in a row on, it is not. */
     private static final int SUSPECT_FAILURES = 2;
@@ -21,24 +33,38 @@
     private static final long FIRST_PAUSE_MILLIS = 3_000;
     private static final long MAX_PAUSE_MILLIS = 12_000;
 
-    private double slowness = 1.0;
+    private final LogFactor slowness = new LogFactor(SPEED_VARIANCE);
     private int failuresInRow;
+    private long learnedMillis;
     private long pausedUntil = Long.MIN_VALUE;
 
     /**
      * Takes in a run that ended with success.
      *
      * @param ratio its run time over the estimate, positive
+     * @param pace what is known of its step, which learns too, not null
      * @param shared whether other upstreams may have set the pace
+     * @param now the time
      */
-    public void done(double ratio, boolean shared) {
+    public void done(double ratio, StepPace pace, boolean shared, long now) {
         failuresInRow = 0;
-        double bounded = Math.min(MAX_RATIO, ratio);
-        if (shared && bounded > slowness) {
-            slowness += SHARED_WEIGHT * (bounded - slowness);
-        } else {
-            slowness += SINGLE_WEIGHT * (bounded - slowness);
-        }
+        slowness.age(Math.max(0, now - learnedMillis) * AGING_PER_MILLI);
+        learnedMillis = now;
+        double bounded = Math.min(MAX_RATIO, Math.max(1 / MAX_RATIO, ratio));
+        boolean slow = bounded > slowness.value() * pace.factor();
+        double noise = shared && slow ? GANG_VARIANCE : RUN_VARIANCE;
+        LogFactor.observeProduct(slowness, pace.error(), bounded, noise);
+    }
+
+    /**
+     * Takes in that a run goes on, which shows that the upstream is slow once it takes longer than
+     * the step can need at usual speed.
+     *
+     * @param ratio its time so far over the estimate, positive
+     * @param pace what is known of its step, not null
+     */
+    public void running(double ratio, StepPace pace) {
+        slowness.raiseTo(Math.min(MAX_SLOWNESS, ratio / pace.error().upper()));
     }
 
     /**
@@ -80,9 +106,18 @@
     /**
      * Returns how slow the upstream is.
      *
-     * @return its run times over the estimates; 1 where nothing is known
+     * @return its run times over those of a usual upstream; 1 where nothing is known
      */
     public double slowness() {
-        return slowness;
+        return slowness.value();
+    }
+
+    /**
+     * Tells whether runs have shown how fast the upstream is.
+     *
+     * @return false until a run has ended there
+     */
+    public boolean known() {
+        return slowness.variance() < KNOWN_VARIANCE;
     }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamRoom.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamRoom.java
@@ -13,7 +13,8 @@
  * @param labels what it is labelled with, not null
  * @param free what no run takes, not null
  * @param promised what will be free once the runs that are being stopped have ended, not null
- * @param slowness its run times over the estimates; 1 where nothing is known
+ * @param slowness its run times over those of a usual upstream; 1 where nothing is known
+ * @param unproven whether nothing is known of its speed and no run is under way that will show it
  * @param suspect whether tasks should go elsewhere if they can
  */
 public record UpstreamRoom(
@@ -24,6 +25,7 @@
         Resources free,
         Resources promised,
         double slowness,
+        boolean unproven,
         boolean suspect) {
     /** Checks the values. */
     public UpstreamRoom {
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +23,7 @@
     private static final Resources NODE = new Resources(32_000, 10_000, 8);
 
     private static UpstreamRoom room(String agent, String rack, Resources free) {
-        return new UpstreamRoom(agent, "s", rack, Set.of("a", rack), free, free, 1.0, false);
+        return new UpstreamRoom(agent, "s", rack, Set.of("a", rack), free, free, 1.0, false, false);
     }
 
     private static WaitingUnit unit(String job, int priority, StepSpec spec) {
@@ -191,9 +192,17 @@
         void keepThePromisedRoomFromOthers() {
             List<UpstreamRoom> promised =
                     List.of(
-                            new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1, false),
+                            new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1, false, false),
                             new UpstreamRoom(
-                                    "y", "s", "r1", Set.of(), Resources.NONE, NODE, 1, false));
+                                    "y",
+                                    "s",
+                                    "r1",
+                                    Set.of(),
+                                    Resources.NONE,
+                                    NODE,
+                                    1,
+                                    false,
+                                    false));
             StepSpec other = WorkSamples.step(1, GPU);
 
             SchedulePlan plan =
@@ -257,9 +266,12 @@
         private final StepSpec single = WorkSamples.step(1, GPU);
         private final List<UpstreamRoom> rooms =
                 List.of(
-                        new UpstreamRoom("fast", "s", "r1", Set.of(), NODE, NODE, 0.6, false),
-                        new UpstreamRoom("slow", "s", "r1", Set.of(), NODE, NODE, 1.6, false),
-                        new UpstreamRoom("crawling", "s", "r1", Set.of(), NODE, NODE, 4.0, false));
+                        new UpstreamRoom(
+                                "fast", "s", "r1", Set.of(), NODE, NODE, 0.6, false, false),
+                        new UpstreamRoom(
+                                "slow", "s", "r1", Set.of(), NODE, NODE, 1.6, false, false),
+                        new UpstreamRoom(
+                                "crawling", "s", "r1", Set.of(), NODE, NODE, 4.0, false, false));
 
         private String placeOf(WaitingUnit unit, List<UpstreamRoom> where) {
             return TaskScheduler.plan(List.of(unit), List.of(), where)
@@ -279,10 +291,31 @@
             assertThat(placeOf(unit("j", 1, single), rooms)).isEqualTo("slow");
         }
 
+        @Test
+        void unprovenOnesAreTriedByOneTaskEachThatHasTimeToSpare() {
+            List<UpstreamRoom> rooms = List.of(unproven("x"), unproven("y"), unproven("z"));
+            StepSpec batch = WorkSamples.step(6, GPU);
+
+            assertThat(agentsOf(unit("j", 1, batch), rooms)).contains("x", "y", "z");
+            assertThat(agentsOf(unit("j", 0, batch), rooms)).containsOnly("x");
+        }
+
+        private UpstreamRoom unproven(String agent) {
+            return new UpstreamRoom(agent, "s", "r1", Set.of(), NODE, NODE, 1, true, false);
+        }
+
+        private Collection<String> agentsOf(WaitingUnit unit, List<UpstreamRoom> where) {
+            return TaskScheduler.plan(List.of(unit), List.of(), where)
+                    .starts()
+                    .get(0)
+                    .agents()
+                    .values();
+        }
+
         @Test
         void suspectOnesAreLeftAloneUntilNothingElseIsFound() {
             List<UpstreamRoom> suspect =
-                    List.of(new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1, true));
+                    List.of(new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1, false, true));
 
             assertThat(
                             TaskScheduler.plan(List.of(unit("j", 1, single)), List.of(), suspect)
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -9,6 +9,7 @@
 import org.fescueloom.fleet.QueuePolicy;
 import org.fescueloom.fleet.UpstreamNotice;
 import org.fescueloom.fleet.UpstreamState;
+import org.fescueloom.schedule.StepPace;
 import org.fescueloom.work.JobPhase;
 import org.fescueloom.work.RunEnd;
 import org.fescueloom.work.StepSpec;
@@ -23,6 +24,7 @@
     private final OrderIssuer orders;
     private final Set<String> failedGangRuns = new HashSet<>();
     private final Map<String, Set<String>> failedOn = new HashMap<>();
+    private final Map<String, StepPace> paces = new HashMap<>();
 
     RunTracker(DispatchState state, OrderIssuer orders) {
         this.state = state;
@@ -98,9 +100,13 @@
         run.markSeen(now);
         run.markCheckpoint(row.checkpoint(), now);
         WorkJob job = state.jobs().get(run.task().job());
-        if (job != null && !row.checkpoint().isEmpty()) {
+        if (job == null || job.task(run.task()) == null) {
+            return;
+        }
+        if (!row.checkpoint().isEmpty()) {
             saveCheckpoint(job, run, row.checkpoint());
         }
+        learnWhileRunning(agent, run, job, now);
     }
 
     private static void saveCheckpoint(WorkJob job, AssignedRun run, String checkpoint) {
@@ -184,19 +190,41 @@
         if (end == RunEnd.FAILED) {
             agent.health().failed(now);
             failedOn.computeIfAbsent(stepName(run.task()), k -> new HashSet<>()).add(agent.name());
-        } else if (end == RunEnd.DONE
-                && current
-                && run.fresh()
-                && run.seen()
-                && !spec.endless()
-                && spec.estimateMillis() > 0) {
-            double ratio = (double) (now - run.seenMillis()) / spec.estimateMillis();
-            agent.health().done(ratio, spec.gang() && spec.count() > 1);
+        } else if (end == RunEnd.DONE && current && run.seen() && isComparable(agent, run, spec)) {
+            double ratio = ratio(run, spec, now);
+            agent.health().done(ratio, pace(run.task()), spec.gang() && spec.count() > 1, now);
         }
     }
 
+    /** Learns from a run that goes on; a gang may wait for a member elsewhere. */
+    private void learnWhileRunning(AgentView agent, AssignedRun run, WorkJob job, long now) {
+        StepSpec spec = DispatchState.stepOf(job, run.task());
+        if (!spec.gang() && isComparable(agent, run, spec)) {
+            agent.health().running(ratio(run, spec, now), pace(run.task()));
+        }
+    }
+
+    /** Tells whether the time of a run says something of the upstream. */
+    private static boolean isComparable(AgentView agent, AssignedRun run, StepSpec spec) {
+        boolean near = spec.dataRack().isEmpty() || spec.dataRack().equals(agent.notice().rack());
+        return run.fresh() && near && !spec.endless() && spec.estimateMillis() > 0;
+    }
+
+    /** Returns how long a run takes or has taken over the estimate, at least a millisecond. */
+    private static double ratio(AssignedRun run, StepSpec spec, long now) {
+        return Math.max(1.0, now - run.seenMillis()) / spec.estimateMillis();
+    }
+
+    private StepPace pace(TaskKey task) {
+        return paces.computeIfAbsent(stepName(task), name -> new StepPace());
+    }
+
     private static String stepName(TaskKey task) {
-        return task.job() + '.' + task.step();
+        return stepName(task.job(), task.step());
+    }
+
+    private static String stepName(String job, int step) {
+        return job + '.' + step;
     }
 
     /** Returns the agents on which a run of a step has failed, by "JOB.STEP". */
@@ -224,6 +252,7 @@
     void end(WorkJob job, JobPhase phase) {
         long now = state.dateMillis();
         job.end(phase, now);
+        forget(job);
         EventLog.event("job-ended")
                 .field("job", job.submission().id())
                 .field("queue", job.submission().queue())
@@ -242,6 +271,14 @@
         }
     }
 
+    private void forget(WorkJob job) {
+        for (int s = 0; s < job.submission().work().steps().size(); s++) {
+            String name = stepName(job.submission().id(), s);
+            failedOn.remove(name);
+            paces.remove(name);
+        }
+    }
+
     private boolean attemptsUsedUp(WorkJob job) {
         int attempts =
                 state.fleet()
