Send callers elsewhere while the configuration cannot be followed

Change: while the operators' log cannot be read, an unknown key or path meets 503 configuration-outdated with Retry-After, since a newer configuration may allow the call. Calls that the known one allows are served as before.

--- a/fescueloom-core/src/main/java/org/fescueloom/failure/FailureType.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/failure/FailureType.java
@@ -92,6 +92,8 @@
     UNKNOWN_KEY(401, Outcome.NOT_RUN),
     /** The process has read no configuration yet. */
     NO_CONFIGURATION(503, Outcome.NOT_RUN),
+    /** The configuration that is known does not allow the request, and may not be the newest. */
+    CONFIGURATION_OUTDATED(503, Outcome.NOT_RUN),
     /** The process met a fault of its own before the request was started. */
     INTERNAL(500, Outcome.NOT_RUN);
 
