Place urgent units by what an upstream likely reaches; let a new dispatcher settle

Urgent units now rank upstreams by a slowness that they likely do not exceed, in classes of a quarter. - 0.35 s after it took over, a dispatcher stopped runs that had just started, because most agents had not reported yet. It stops nothing for others in its first second. Found with the second: the answer to a parked agent went out after the first of several stops; all stops of a round are now marked first.

Tests: thoseKnownToBeUsualServeWhatIsPressingBeforeUnknownOnes, stopsNothingForAnUrgentJobBeforeAllAgentsCanHaveReported (fails with a settling time of 0), stopsLessUrgentRunsOnceAllAgentsCanHaveReported (one of eight stops before).

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/LogFactor.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/LogFactor.java
@@ -71,12 +71,13 @@
     }
 
     /**
-     * Returns a factor that the true one hardly exceeds.
+     * Returns a factor that the true one seldom exceeds.
      *
-     * @return the estimate, two standard deviations up
+     * @param deviations how many standard deviations it lies above the estimate
+     * @return the bound, positive
      */
-    double upper() {
-        return Math.exp(mean + 2 * Math.sqrt(variance));
+    double upper(double deviations) {
+        return Math.exp(mean + deviations * Math.sqrt(variance));
     }
 
     /**
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
@@ -22,6 +22,9 @@
     /** Up to this slowness a job that allows three times its work is in time. */
     private static final double TOLERABLE_SLOWNESS = 2.0;
 
+    /** Upstreams that differ by less than this factor count as equally fast. */
+    private static final double CLASS_FACTOR = 1.25;
+
     /** Makes the speed of a rack count before the cores that are left in it. */
     private static final double SLOWNESS_WEIGHT = 100_000;
 
@@ -152,14 +155,17 @@
 
     /** Ranks fast upstreams first for pressing units; others leave the fast ones to those. */
     private static double preference(WaitingUnit unit, UpstreamRoom upstream) {
-        double slowness = slownessClass(upstream.slowness());
+        if (unit.pressing()) {
+            return slownessClass(upstream.slownessAtWorst());
+        }
         boolean tolerable = upstream.slowness() <= TOLERABLE_SLOWNESS;
-        return unit.pressing() || !tolerable ? slowness : -slowness;
+        double slowness = slownessClass(upstream.slowness());
+        return tolerable ? -slowness : slowness;
     }
 
-    /** Rounds to steps of a half, so that small differences do not scatter the tasks. */
+    /** Rounds to steps of a quarter, so that small differences do not scatter the tasks. */
     private static double slownessClass(double slowness) {
-        return Math.rint(slowness * 2);
+        return Math.rint(Math.log(slowness) / Math.log(CLASS_FACTOR));
     }
 
     private List<UpstreamRoom> candidates(WaitingUnit unit, String rack) {
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
@@ -24,6 +24,12 @@
     /** Upstreams turn slow and fast again within half a minute. */
     private static final double AGING_PER_MILLI = SPEED_VARIANCE / 30_000;
 
+    /** Two standard deviations are exceeded once in forty times. */
+    private static final double SURE_DEVIATIONS = 2.0;
+
+    /** One standard deviation is exceeded once in six times. */
+    private static final double LIKELY_DEVIATIONS = 1.0;
+
     /** Below this much of the first uncertainty, a speed counts as known. */
     private static final double KNOWN_VARIANCE = 0.9 * SPEED_VARIANCE;
 
@@ -64,7 +70,7 @@
      * @param pace what is known of its step, not null
      */
     public void running(double ratio, StepPace pace) {
-        slowness.raiseTo(Math.min(MAX_SLOWNESS, ratio / pace.error().upper()));
+        slowness.raiseTo(Math.min(MAX_SLOWNESS, ratio / pace.error().upper(SURE_DEVIATIONS)));
     }
 
     /**
@@ -112,6 +118,15 @@
         return slowness.value();
     }
 
+    /**
+     * Returns a slowness that the upstream likely does not exceed.
+     *
+     * @return its run times over those of a usual upstream; above 1 where nothing is known
+     */
+    public double slownessAtWorst() {
+        return slowness.upper(LIKELY_DEVIATIONS);
+    }
+
     /**
      * Tells whether runs have shown how fast the upstream is.
      *
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -23,7 +23,8 @@
     private static final Resources NODE = new Resources(32_000, 10_000, 8);
 
     private static UpstreamRoom room(String agent, String rack, Resources free) {
-        return new UpstreamRoom(agent, "s", rack, Set.of("a", rack), free, free, 1.0, false, false);
+        return new UpstreamRoom(
+                agent, "s", rack, Set.of("a", rack), free, free, 1.0, 1.0, false, false);
     }
 
     private static WaitingUnit unit(String job, int priority, StepSpec spec) {
@@ -192,7 +193,8 @@
         void keepThePromisedRoomFromOthers() {
             List<UpstreamRoom> promised =
                     List.of(
-                            new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1, false, false),
+                            new UpstreamRoom(
+                                    "x", "s", "r1", Set.of(), NODE, NODE, 1, 1, false, false),
                             new UpstreamRoom(
                                     "y",
                                     "s",
@@ -201,6 +203,7 @@
                                     Resources.NONE,
                                     NODE,
                                     1,
+                                    1,
                                     false,
                                     false));
             StepSpec other = WorkSamples.step(1, GPU);
@@ -267,11 +270,20 @@
         private final List<UpstreamRoom> rooms =
                 List.of(
                         new UpstreamRoom(
-                                "fast", "s", "r1", Set.of(), NODE, NODE, 0.6, false, false),
+                                "fast", "s", "r1", Set.of(), NODE, NODE, 0.6, 0.6, false, false),
                         new UpstreamRoom(
-                                "slow", "s", "r1", Set.of(), NODE, NODE, 1.6, false, false),
+                                "slow", "s", "r1", Set.of(), NODE, NODE, 1.6, 1.6, false, false),
                         new UpstreamRoom(
-                                "crawling", "s", "r1", Set.of(), NODE, NODE, 4.0, false, false));
+                                "crawling",
+                                "s",
+                                "r1",
+                                Set.of(),
+                                NODE,
+                                NODE,
+                                4.0,
+                                4.0,
+                                false,
+                                false));
 
         private String placeOf(WaitingUnit unit, List<UpstreamRoom> where) {
             return TaskScheduler.plan(List.of(unit), List.of(), where)
@@ -291,6 +303,18 @@
             assertThat(placeOf(unit("j", 1, single), rooms)).isEqualTo("slow");
         }
 
+        @Test
+        void thoseKnownToBeUsualServeWhatIsPressingBeforeUnknownOnes() {
+            List<UpstreamRoom> doubtful =
+                    List.of(
+                            new UpstreamRoom(
+                                    "a", "s", "r1", Set.of(), NODE, NODE, 1, 1.5, false, false),
+                            new UpstreamRoom(
+                                    "b", "s", "r1", Set.of(), NODE, NODE, 1, 1.1, false, false));
+
+            assertThat(placeOf(unit("j", 0, single), doubtful)).isEqualTo("b");
+        }
+
         @Test
         void unprovenOnesAreTriedByOneTaskEachThatHasTimeToSpare() {
             List<UpstreamRoom> rooms = List.of(unproven("x"), unproven("y"), unproven("z"));
@@ -301,7 +325,7 @@
         }
 
         private UpstreamRoom unproven(String agent) {
-            return new UpstreamRoom(agent, "s", "r1", Set.of(), NODE, NODE, 1, true, false);
+            return new UpstreamRoom(agent, "s", "r1", Set.of(), NODE, NODE, 1, 1, true, false);
         }
 
         private Collection<String> agentsOf(WaitingUnit unit, List<UpstreamRoom> where) {
@@ -315,7 +339,9 @@
         @Test
         void suspectOnesAreLeftAloneUntilNothingElseIsFound() {
             List<UpstreamRoom> suspect =
-                    List.of(new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1, false, true));
+                    List.of(
+                            new UpstreamRoom(
+                                    "x", "s", "r1", Set.of(), NODE, NODE, 1, 1, false, true));
 
             assertThat(
                             TaskScheduler.plan(List.of(unit("j", 1, single)), List.of(), suspect)
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -1,6 +1,7 @@
 package org.fescueloom.daemon.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -42,6 +43,9 @@
 
     private static final long RETRY_MILLIS = 1_000;
 
+    /** Agents that run find a new dispatcher, and report to it, within a second. */
+    private static final long SETTLE_MILLIS = 1_000;
+
     private final DispatchState state;
     private final OrderIssuer orders;
     private final RunTracker runs;
@@ -232,12 +236,21 @@
         if (waiting.isEmpty()) {
             return;
         }
-        SchedulePlan plan = TaskScheduler.plan(waiting, input.running(state.jobs()), input.rooms());
+        SchedulePlan plan = TaskScheduler.plan(waiting, mayBeStopped(input, now), input.rooms());
         plan.starts().forEach(start -> assign(start, now));
         plan.stops().forEach(this::preempt);
+        if (!plan.stops().isEmpty()) {
+            state.agents().values().forEach(orders::answerIfNeeded);
+        }
         state.writer().flush();
     }
 
+    /** Room that is not reported yet may make a stop needless, so a young dispatcher waits. */
+    private Collection<RunningUnit> mayBeStopped(RoundInput input, long now) {
+        boolean young = now - state.startedMillis() < SETTLE_MILLIS;
+        return young ? List.of() : input.running(state.jobs());
+    }
+
     private void assign(Assignment start, long now) {
         WaitingUnit unit = start.unit();
         WorkJob job = state.jobs().get(unit.job());
@@ -296,7 +309,6 @@
                     run.requestStop();
                 }
             }
-            orders.answerIfNeeded(agent);
         }
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
@@ -87,6 +87,7 @@
                                 free,
                                 free.plus(agent.stopping()),
                                 agent.health().slowness(),
+                                agent.health().slownessAtWorst(),
                                 !agent.health().known() && agent.runs().isEmpty(),
                                 agent.health().suspect(steadyMillis)));
             }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -30,6 +30,16 @@
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
     private final ManualLoop loop = new ManualLoop();
+    private static final FleetConfiguration TWO_QUEUES =
+            new FleetConfiguration(
+                    1,
+                    List.of(
+                            new QueuePolicy(
+                                    "queue", "h", "/q/", "service", 1, 2, 3, 0, false, false),
+                            new QueuePolicy(
+                                    "urgent", "h", "/u/", "service", 0, 2, 3, 0, false, false)),
+                    List.of());
+
     private FleetView fleet = new FleetView(CONFIGURATION, Set.of(), 0);
     private boolean deposed;
 
@@ -414,6 +424,48 @@
             assertThat(agent.running).hasSize(2).allMatch(row -> row.run() == 1);
         }
 
+        @Test
+        void stopsNothingForAnUrgentJobBeforeAllAgentsCanHaveReported() {
+            fleet = new FleetView(TWO_QUEUES, Set.of(), 0);
+            Dispatcher first = claim();
+            Agent full = new Agent("full");
+            accept(first, job("usual", 8, false));
+            full.exchange(first);
+
+            Dispatcher second = claim();
+            Agent idle = new Agent("idle");
+            CompletableFuture<AgentOrders> orders = full.report(second);
+            accept(second, urgent("urgent", 8));
+            CompletableFuture<AgentOrders> starts = idle.report(second);
+            loop.advance(1_500);
+
+            assertThat(orders.join().stops()).isEmpty();
+            assertThat(starts.join().starts()).hasSize(8);
+        }
+
+        @Test
+        void stopsLessUrgentRunsOnceAllAgentsCanHaveReported() {
+            fleet = new FleetView(TWO_QUEUES, Set.of(), 0);
+            Dispatcher first = claim();
+            Agent full = new Agent("full");
+            accept(first, job("usual", 8, false));
+            full.exchange(first);
+
+            Dispatcher second = claim();
+            full.report(second);
+            accept(second, urgent("urgent", 8));
+            loop.advance(900);
+            CompletableFuture<AgentOrders> orders = full.report(second);
+            loop.advance(300);
+
+            assertThat(orders.join().stops()).hasSize(8);
+        }
+
+        private Submission urgent(String id, int tasks) {
+            Submission usual = job(id, tasks, false);
+            return new Submission(id, "urgent", "customer", "service", 0, usual.work());
+        }
+
         @Test
         void stopsTheOneBefore() {
             Dispatcher first = claim();
