Wait for a rack from when tasks could last start; try an upstream only once

A batch of 8 tasks was spread over 8 upstreams that had been tried before, since an upstream counted as unknown again some seconds after its last end; an urgent job had to stop two of them.

Change: the wait for a rack begins anew whenever the tasks may start again, and lasts two seconds at least; an upstream that has ended a run stays known.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/LogFactor.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/LogFactor.java
@@ -79,13 +79,4 @@
     double upper(double deviations) {
         return Math.exp(mean + deviations * Math.sqrt(variance));
     }
-
-    /**
-     * Returns how uncertain the estimate is.
-     *
-     * @return the variance of the logarithm, positive
-     */
-    double variance() {
-        return variance;
-    }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
@@ -16,6 +16,11 @@
     /** A unit may leave its rack, and run slower, once it waited this many times its estimate. */
     static final double PATIENCE = 1.0;
 
+    /**
+     * Estimates of short tasks say little, and a run outside its rack takes three times as long.
+     */
+    private static final double MIN_PATIENCE_MILLIS = 2_000;
+
     /** A unit may go to a suspect upstream once it waited this many times its estimate. */
     private static final double SUSPECT_PATIENCE = 2.0;
 
@@ -53,7 +58,8 @@
     /** Does the same with a given view of the room. */
     Map<Integer, String> fit(WaitingUnit unit, Function<String, Resources> room) {
         StepSpec spec = unit.spec();
-        boolean patient = unit.waitedMillis() < PATIENCE * spec.estimateMillis();
+        double patience = Math.max(MIN_PATIENCE_MILLIS, PATIENCE * spec.estimateMillis());
+        boolean patient = unit.idleMillis() < patience;
         if (!spec.dataRack().isEmpty() && ledger.racks().contains(spec.dataRack())) {
             Map<Integer, String> near = within(unit, spec.dataRack(), room);
             if (!near.isEmpty() || patient) {
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
@@ -30,9 +30,6 @@
     /** One standard deviation is exceeded once in six times. */
     private static final double LIKELY_DEVIATIONS = 1.0;
 
-    /** Below this much of the first uncertainty, a speed counts as known. */
-    private static final double KNOWN_VARIANCE = 0.9 * SPEED_VARIANCE;
-
     /** One failure may be the fault of the job; from this many in a row on, it is not. */
     private static final int SUSPECT_FAILURES = 2;
 
@@ -42,6 +39,7 @@
     private final LogFactor slowness = new LogFactor(SPEED_VARIANCE);
     private int failuresInRow;
     private long learnedMillis;
+    private boolean known;
     private long pausedUntil = Long.MIN_VALUE;
 
     /**
@@ -54,6 +52,7 @@
      */
     public void done(double ratio, StepPace pace, boolean shared, long now) {
         failuresInRow = 0;
+        known = true;
         slowness.age(Math.max(0, now - learnedMillis) * AGING_PER_MILLI);
         learnedMillis = now;
         double bounded = Math.min(MAX_RATIO, Math.max(1 / MAX_RATIO, ratio));
@@ -133,6 +132,6 @@
      * @return false until a run has ended there
      */
     public boolean known() {
-        return slowness.variance() < KNOWN_VARIANCE;
+        return known;
     }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
@@ -19,7 +19,9 @@
  * @param priority the priority of its queue; 0 comes first
  * @param prospect what can still become of the job, not null
  * @param objectiveMillis when the job should be done, on the clock of the caller, in milliseconds
- * @param waitedMillis how long the tasks have waited, in milliseconds
+ * @param waitedMillis how long ago the tasks were due, in milliseconds
+ * @param idleMillis how long the tasks have waited since they could start, or start again, in
+ *     milliseconds
  * @param guaranteed whether all urgent jobs of the customer fit into what it is guaranteed
  * @param pressing whether the job allows little more time than its work takes
  * @param failedOn the agents on which a run of the step has failed, not null
@@ -37,6 +39,7 @@
         Prospect prospect,
         long objectiveMillis,
         long waitedMillis,
+        long idleMillis,
         boolean guaranteed,
         boolean pressing,
         Set<String> failedOn,
@@ -84,6 +87,7 @@
                 prospect,
                 objectiveMillis,
                 waitedMillis,
+                idleMillis,
                 guaranteed,
                 pressing,
                 failedOn,
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/UpstreamHealthTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/UpstreamHealthTest.java
@@ -92,6 +92,8 @@
             assertThat(health.known()).isFalse();
             health.done(1.0, new StepPace(), false, 0);
             assertThat(health.known()).isTrue();
+            health.done(1.0, new StepPace(), false, 3_600_000);
+            assertThat(health.known()).isTrue();
         }
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -51,6 +51,7 @@
     private final RunTracker runs;
     private final JobIntake intake;
     private final StuckRuns stuckRuns;
+    private final WaitTimes waitTimes = new WaitTimes();
     private final ScheduledExecutorService loop;
     private boolean closed;
 
@@ -218,12 +219,14 @@
             return;
         }
         long now = state.steadyMillis();
+        waitTimes.beginRound();
         RoundInput input =
                 new RoundInput(
                         state.fleet(),
                         state.agents().values(),
                         state.terms(),
                         runs.failedOn(),
+                        waitTimes,
                         now,
                         state.dateMillis(),
                         state.jobs().values());
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
@@ -38,6 +38,7 @@
     private final Collection<AgentView> agents;
     private final DispatchTerms terms;
     private final Map<String, Set<String>> failedOn;
+    private final WaitTimes waitTimes;
     private final long steadyMillis;
     private final long dateMillis;
     private final Map<String, Long> urgentNeed = new HashMap<>();
@@ -49,6 +50,7 @@
             Collection<AgentView> agents,
             DispatchTerms terms,
             Map<String, Set<String>> failedOn,
+            WaitTimes waitTimes,
             long steadyMillis,
             long dateMillis,
             Collection<WorkJob> jobs) {
@@ -56,6 +58,7 @@
         this.agents = agents;
         this.terms = terms;
         this.failedOn = failedOn;
+        this.waitTimes = waitTimes;
         this.steadyMillis = steadyMillis;
         this.dateMillis = dateMillis;
         for (WorkJob job : jobs) {
@@ -151,6 +154,8 @@
                         Prospect.of(due, objective, dateMillis + spec.estimateMillis()),
                         objective,
                         Math.max(0, dateMillis - due),
+                        waitTimes.waited(
+                                submission.id() + '.' + occurrence + '.' + step, steadyMillis),
                         guaranteed(job),
                         factor < PRESSING_FACTOR,
                         failedOn.getOrDefault(submission.id() + '.' + step, Set.of()),
