Keep urgent units off upstreams known to be too slow for them, for a while

Change: a unit that may take less than twice its work waits 1.5 s for an upstream that can serve it in time, stopping less urgent runs there if it must, before it takes one that is known to be too slow. Upstreams of unknown speed count as fast enough, so that nothing waits where nothing is known.

Test: slowOnesServeWhatIsPressingOnlyAfterAWait.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
@@ -24,6 +24,12 @@
     /** A unit may go to a suspect upstream once it waited this many times its estimate. */
     private static final double SUSPECT_PATIENCE = 2.0;
 
+    /** Less urgent runs are stopped within a second; a guarantee holds after three. */
+    private static final long SPEED_PATIENCE_MILLIS = 1_500;
+
+    /** An upstream whose speed is not known is at worst a little faster than this. */
+    private static final double UNKNOWN_AT_WORST = 1.5;
+
     /** Up to this slowness a job that allows three times its work is in time. */
     private static final double TOLERABLE_SLOWNESS = 2.0;
 
@@ -180,13 +186,21 @@
         boolean desperate = unit.waitedMillis() > SUSPECT_PATIENCE * unit.spec().estimateMillis();
         for (UpstreamRoom upstream : ledger.upstreams(unit.service(), rack)) {
             boolean labelled = label.isEmpty() || upstream.labels().contains(label);
-            if (labelled && (desperate || trusted(unit, upstream))) {
+            boolean usable = desperate || trusted(unit, upstream) && fastEnough(unit, upstream);
+            if (labelled && usable) {
                 fitting.add(upstream);
             }
         }
         return fitting;
     }
 
+    /** A pressing unit waits a little for upstreams that can serve it in time. */
+    private static boolean fastEnough(WaitingUnit unit, UpstreamRoom upstream) {
+        return !unit.pressing()
+                || unit.idleMillis() >= SPEED_PATIENCE_MILLIS
+                || upstream.slownessAtWorst() <= Math.max(unit.slackFactor(), UNKNOWN_AT_WORST);
+    }
+
     private static boolean trusted(WaitingUnit unit, UpstreamRoom upstream) {
         return !upstream.suspect() && !unit.failedOn().contains(upstream.agent());
     }
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
@@ -23,7 +23,7 @@
  * @param idleMillis how long the tasks have waited since they could start, or start again, in
  *     milliseconds
  * @param guaranteed whether all urgent jobs of the customer fit into what it is guaranteed
- * @param pressing whether the job allows little more time than its work takes
+ * @param slackFactor how many times its work the job may take
  * @param failedOn the agents on which a run of the step has failed, not null
  * @param perUpstream how many tasks of the step each agent runs already, not null
  */
@@ -41,9 +41,12 @@
         long waitedMillis,
         long idleMillis,
         boolean guaranteed,
-        boolean pressing,
+        double slackFactor,
         Set<String> failedOn,
         Map<String, Integer> perUpstream) {
+    /** A job that may take less than this many times its work needs fast upstreams. */
+    private static final double PRESSING_FACTOR = 2.0;
+
     /** Checks the values. */
     public WaitingUnit {
         Objects.requireNonNull(job, "job");
@@ -59,6 +62,15 @@
         }
     }
 
+    /**
+     * Tells whether the job allows little more time than its work takes.
+     *
+     * @return whether it may take less than twice its work
+     */
+    public boolean pressing() {
+        return slackFactor < PRESSING_FACTOR;
+    }
+
     /**
      * Returns the work of the tasks that wait.
      *
@@ -89,7 +101,7 @@
                 waitedMillis,
                 idleMillis,
                 guaranteed,
-                pressing,
+                slackFactor,
                 failedOn,
                 perUpstream);
     }
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -47,7 +47,7 @@
                 waited,
                 waited,
                 false,
-                priority == 0,
+                priority == 0 ? 1.5 : 3.0,
                 Set.of(),
                 Map.of());
     }
@@ -139,7 +139,7 @@
                             0,
                             0,
                             true,
-                            true,
+                            1.5,
                             Set.of(),
                             Map.of());
             RunningUnit borrower =
@@ -172,7 +172,7 @@
                             0,
                             0,
                             true,
-                            true,
+                            1.5,
                             Set.of(),
                             Map.of());
 
@@ -239,7 +239,7 @@
                     0,
                     0,
                     false,
-                    false,
+                    3.0,
                     Set.of(),
                     Map.of());
         }
@@ -319,6 +319,23 @@
             assertThat(placeOf(unit("j", 0, single), doubtful)).isEqualTo("b");
         }
 
+        @Test
+        void slowOnesServeWhatIsPressingOnlyAfterAWait() {
+            UpstreamRoom slow =
+                    new UpstreamRoom("x", "s", "r1", Set.of(), NODE, NODE, 1.4, 1.7, false, false);
+            Resources none = Resources.NONE;
+            UpstreamRoom full =
+                    new UpstreamRoom("y", "s", "r1", Set.of(), none, none, 0.8, 0.9, false, false);
+            RunningUnit usual = new RunningUnit("u", "c", 2, true, Map.of("y", NODE), 0.5);
+            WaitingUnit urgent = unit("j", 0, single);
+
+            SchedulePlan plan =
+                    TaskScheduler.plan(List.of(urgent), List.of(usual), List.of(slow, full));
+            assertThat(plan.starts()).isEmpty();
+            assertThat(plan.stops()).containsExactly(usual);
+            assertThat(placeOf(unit("j", 0, single, 1_500), List.of(slow, full))).isEqualTo("x");
+        }
+
         @Test
         void unprovenOnesAreTriedByOneTaskEachThatHasTimeToSpare() {
             List<UpstreamRoom> rooms = List.of(unproven("x"), unproven("y"), unproven("z"));
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
@@ -31,9 +31,6 @@
     /** The priority that guarantees hold for. */
     private static final int URGENT = 0;
 
-    /** A queue that allows less than this many times the work needs fast upstreams. */
-    private static final double PRESSING_FACTOR = 2.0;
-
     private final FleetView fleet;
     private final Collection<AgentView> agents;
     private final DispatchTerms terms;
@@ -157,7 +154,7 @@
                         waitTimes.waited(
                                 submission.id() + '.' + occurrence + '.' + step, steadyMillis),
                         guaranteed(job),
-                        factor < PRESSING_FACTOR,
+                        factor,
                         failedOn.getOrDefault(submission.id() + '.' + step, Set.of()),
                         perUpstream));
     }
