Keep the speeds of upstreams in the store, and learn from restored runs

After the roll of all entries (1.0 to 11.5 s) and after the power failure (34 s) the new dispatcher knew no speeds; urgent gangs went to b-2, a-3 and c-1, the slow ones, and single tasks tried every upstream again.

A run that an earlier dispatcher started shows by going on that its upstream is slow, though its end says nothing since its start is not known.

Tests: knowsTheSpeedOfUpstreamsFromTheOneBefore, learnsFromRunsThatTheOneBeforeHasStarted (fails without).

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/LogFactor.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/LogFactor.java
@@ -20,6 +20,17 @@
         this.variance = initialVariance;
     }
 
+    /**
+     * Takes up an estimate that was kept.
+     *
+     * @param value the factor, positive
+     * @param keptVariance the variance of its logarithm, positive
+     */
+    void restore(double value, double keptVariance) {
+        mean = Math.log(value);
+        variance = Math.min(initialVariance, keptVariance);
+    }
+
     /**
      * Corrects two estimates by an observation of their product.
      *
@@ -79,4 +90,13 @@
     double upper(double deviations) {
         return Math.exp(mean + deviations * Math.sqrt(variance));
     }
+
+    /**
+     * Returns how uncertain the estimate is.
+     *
+     * @return the variance of the logarithm, positive
+     */
+    double variance() {
+        return variance;
+    }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
@@ -42,6 +42,30 @@
     private boolean known;
     private long pausedUntil = Long.MIN_VALUE;
 
+    /**
+     * Takes up what an earlier dispatcher has learned.
+     *
+     * @param speed the speed that was kept, not null
+     * @param now the time
+     * @param nowDate the time in milliseconds since 1970
+     */
+    public void restore(UpstreamSpeed speed, long now, long nowDate) {
+        slowness.restore(speed.slowness(), speed.variance());
+        slowness.age(Math.max(0, nowDate - speed.learnedAtMillis()) * AGING_PER_MILLI);
+        learnedMillis = now;
+        known = true;
+    }
+
+    /**
+     * Returns what is to be kept.
+     *
+     * @param nowDate the time in milliseconds since 1970
+     * @return the speed, never null
+     */
+    public UpstreamSpeed speed(long nowDate) {
+        return new UpstreamSpeed(slowness.value(), slowness.variance(), nowDate);
+    }
+
     /**
      * Takes in a run that ended with success.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
@@ -37,12 +37,12 @@
                         won ->
                                 JobStore.load(log)
                                         .thenApply(
-                                                jobs ->
+                                                content ->
                                                         new Dispatcher.Start(
                                                                 won.end(),
                                                                 won.end(),
                                                                 won.moment(),
-                                                                jobs)));
+                                                                content)));
     }
 
     private record Won(long end, StoreContact.Moment moment) {}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.schedule.UpstreamSpeed;
 import org.fescueloom.work.JobView;
 import org.fescueloom.work.StepSpec;
 import org.fescueloom.work.TaskKey;
@@ -15,6 +16,9 @@
 
 /** Holds what the parts of a dispatcher share; used on its thread only. */
 final class DispatchState {
+    /** An upstream that has served nothing for a day is taken for gone. */
+    private static final long KEEP_SPEED_MILLIS = 86_400_000;
+
     private final long epoch;
     private final DispatchTerms terms;
     private final Supplier<FleetView> fleet;
@@ -22,20 +26,22 @@
     private final Metrics metrics;
     private final DurableWriter writer;
     private final Map<String, WorkJob> jobs;
+    private final Map<String, UpstreamSpeed> storedSpeeds;
     private final long startedMillis;
     private final Map<String, JobView> storedViews = new HashMap<>();
     private final Map<String, AgentView> agents = new LinkedHashMap<>();
 
     DispatchState(
             long epoch,
-            Map<String, WorkJob> jobs,
+            JobStore.Content content,
             DispatchTerms terms,
             Supplier<FleetView> fleet,
             StoreContact contact,
             DurableWriter writer,
             Metrics metrics) {
         this.epoch = epoch;
-        this.jobs = jobs;
+        this.jobs = content.jobs();
+        this.storedSpeeds = content.speeds();
         this.terms = terms;
         this.fleet = fleet;
         this.contact = contact;
@@ -103,8 +109,26 @@
      * until its own proof of the log ran out.
      */
     AgentView agent(String name) {
-        return agents.computeIfAbsent(
-                name, n -> new AgentView(n, startedMillis + terms.storeProofMillis()));
+        return agents.computeIfAbsent(name, this::newAgent);
+    }
+
+    private AgentView newAgent(String name) {
+        AgentView agent = new AgentView(name, startedMillis + terms.storeProofMillis());
+        UpstreamSpeed speed = storedSpeeds.get(name);
+        if (speed != null) {
+            agent.health().restore(speed, steadyMillis(), dateMillis());
+        }
+        return agent;
+    }
+
+    /** Marks the speed of an upstream to be written, if the stored one no longer tells it. */
+    void learned(AgentView agent) {
+        UpstreamSpeed stored = storedSpeeds.get(agent.name());
+        UpstreamSpeed speed = agent.health().speed(dateMillis());
+        if (stored == null || speed.differsFrom(stored)) {
+            storedSpeeds.put(agent.name(), speed);
+            writer.put(JobStore.speedKey(agent.name()), () -> JobStore.write(speed));
+        }
     }
 
     /** Marks a job to be written, and shows its new state once that is done. */
@@ -115,6 +139,17 @@
         writer.whenStored(() -> storedViews.computeIfPresent(id, (k, old) -> view));
     }
 
+    /** Drops the speeds of upstreams that are long gone. */
+    void forgetOldSpeeds() {
+        long before = dateMillis() - KEEP_SPEED_MILLIS;
+        for (Map.Entry<String, UpstreamSpeed> kept : List.copyOf(storedSpeeds.entrySet())) {
+            if (kept.getValue().learnedAtMillis() < before) {
+                storedSpeeds.remove(kept.getKey());
+                writer.put(JobStore.speedKey(kept.getKey()), () -> new byte[0]);
+            }
+        }
+    }
+
     /** Takes up the runs that are recorded in the jobs that were read back. */
     void restoreRuns() {
         for (WorkJob job : jobs.values()) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -61,10 +61,10 @@
      * @param epoch the offset behind its claim, which orders all dispatchers
      * @param endOffset where the log of jobs ends
      * @param claimed when the claim was sent
-     * @param jobs all jobs that are kept
+     * @param content all that is kept
      */
     record Start(
-            long epoch, long endOffset, StoreContact.Moment claimed, Map<String, WorkJob> jobs) {}
+            long epoch, long endOffset, StoreContact.Moment claimed, JobStore.Content content) {}
 
     Dispatcher(
             Start start,
@@ -83,12 +83,13 @@
                         log, JobStore.TOPIC, start.endOffset(), loop, contact, metrics, deposed);
         state =
                 new DispatchState(
-                        start.epoch(), start.jobs(), terms, fleet, contact, writer, metrics);
+                        start.epoch(), start.content(), terms, fleet, contact, writer, metrics);
         orders = new OrderIssuer(state, entries);
         runs = new RunTracker(state, orders);
         intake = new JobIntake(state, loop, this::plan);
         stuckRuns = new StuckRuns(state);
         state.restoreRuns();
+        state.forgetOldSpeeds();
     }
 
     /** Returns for how long the log service has failed this dispatcher, in milliseconds. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -447,7 +447,7 @@
         metrics.count("dispatcher.claims");
         EventLog.event("dispatching")
                 .field("epoch", epoch)
-                .field("jobs", start.jobs().size())
+                .field("jobs", start.content().jobs().size())
                 .field("config", fleet.get().version())
                 .info();
         dispatcher.start();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
@@ -8,6 +8,7 @@
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.json.Json;
+import org.fescueloom.schedule.UpstreamSpeed;
 import org.fescueloom.work.JobPhase;
 import org.fescueloom.work.JobProgress;
 import org.fescueloom.work.Submission;
@@ -23,6 +24,7 @@
 
     private static final String SUBMISSION_PREFIX = "j/";
     private static final String PROGRESS_PREFIX = "p/";
+    private static final String SPEED_PREFIX = "u/";
     private static final JobProgress UNTOUCHED =
             new JobProgress(JobPhase.ACTIVE, false, 0, Map.of(), 0);
 
@@ -44,10 +46,27 @@
         return Json.write(progress);
     }
 
-    /** Reads all jobs; to be called by the holder of the claim, while nobody else writes. */
-    static CompletableFuture<Map<String, WorkJob>> load(KeyedLog log) {
+    static String speedKey(String agent) {
+        return SPEED_PREFIX + agent;
+    }
+
+    static byte[] write(UpstreamSpeed speed) {
+        return Json.write(speed);
+    }
+
+    /**
+     * Is what a dispatcher finds.
+     *
+     * @param jobs all jobs, by identifier
+     * @param speeds what is known of upstreams, by agent
+     */
+    record Content(Map<String, WorkJob> jobs, Map<String, UpstreamSpeed> speeds) {}
+
+    /** Reads everything; to be called by the holder of the claim, while nobody else writes. */
+    static CompletableFuture<Content> load(KeyedLog log) {
         Map<String, byte[]> values = new HashMap<>();
-        return loadFrom(log, "", values).thenApply(done -> jobs(values));
+        return loadFrom(log, "", values)
+                .thenApply(done -> new Content(jobs(values), speeds(values)));
     }
 
     private static CompletableFuture<Void> loadFrom(
@@ -80,6 +99,22 @@
         return jobs;
     }
 
+    private static Map<String, UpstreamSpeed> speeds(Map<String, byte[]> values) {
+        Map<String, UpstreamSpeed> speeds = new HashMap<>();
+        values.forEach(
+                (key, value) -> {
+                    if (key.startsWith(SPEED_PREFIX)) {
+                        String agent = key.substring(SPEED_PREFIX.length());
+                        try {
+                            speeds.put(agent, Json.read(value, UpstreamSpeed.class));
+                        } catch (SchedulerException e) {
+                            EventLog.event("record-skipped").field("key", key).error(e).error();
+                        }
+                    }
+                });
+        return speeds;
+    }
+
     private static WorkJob job(byte[] submission, byte[] progress) {
         return WorkJob.restore(
                 Json.read(submission, Submission.class),
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -190,24 +190,29 @@
         if (end == RunEnd.FAILED) {
             agent.health().failed(now);
             failedOn.computeIfAbsent(stepName(run.task()), k -> new HashSet<>()).add(agent.name());
-        } else if (end == RunEnd.DONE && current && run.seen() && isComparable(agent, run, spec)) {
+        } else if (end == RunEnd.DONE
+                && current
+                && run.fresh()
+                && run.seen()
+                && isComparable(agent, spec)) {
             double ratio = ratio(run, spec, now);
             agent.health().done(ratio, pace(run.task()), spec.gang() && spec.count() > 1, now);
+            state.learned(agent);
         }
     }
 
-    /** Learns from a run that goes on; a gang may wait for a member elsewhere. */
+    /** Learns from a run that goes on, whenever it began; a gang may wait for other members. */
     private void learnWhileRunning(AgentView agent, AssignedRun run, WorkJob job, long now) {
         StepSpec spec = DispatchState.stepOf(job, run.task());
-        if (!spec.gang() && isComparable(agent, run, spec)) {
+        if (!spec.gang() && isComparable(agent, spec)) {
             agent.health().running(ratio(run, spec, now), pace(run.task()));
         }
     }
 
     /** Tells whether the time of a run says something of the upstream. */
-    private static boolean isComparable(AgentView agent, AssignedRun run, StepSpec spec) {
+    private static boolean isComparable(AgentView agent, StepSpec spec) {
         boolean near = spec.dataRack().isEmpty() || spec.dataRack().equals(agent.notice().rack());
-        return run.fresh() && near && !spec.endless() && spec.estimateMillis() > 0;
+        return near && !spec.endless() && spec.estimateMillis() > 0;
     }
 
     /** Returns how long a run takes or has taken over the estimate, at least a millisecond. */
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -12,10 +12,8 @@
 import org.fescueloom.failure.Outcome;
 import org.fescueloom.fleet.FleetConfiguration;
 import org.fescueloom.fleet.QueuePolicy;
-import org.fescueloom.fleet.UpstreamNotice;
-import org.fescueloom.fleet.UpstreamState;
+import org.fescueloom.schedule.UpstreamHealth;
 import org.fescueloom.work.JobView;
-import org.fescueloom.work.Resources;
 import org.fescueloom.work.RunEnd;
 import org.fescueloom.work.Submission;
 import org.junit.jupiter.api.Nested;
@@ -37,7 +35,7 @@
                             new QueuePolicy(
                                     "queue", "h", "/q/", "service", 1, 2, 3, 0, false, false),
                             new QueuePolicy(
-                                    "urgent", "h", "/u/", "service", 0, 2, 3, 0, false, false)),
+                                    "urgent", "h", "/u/", "service", 0, 2, 1.5, 0, false, false)),
                     List.of());
 
     private FleetView fleet = new FleetView(CONFIGURATION, Set.of(), 0);
@@ -66,58 +64,6 @@
         return JobSamples.job(id, tasks, 1_000, gang, true);
     }
 
-    /** Plays one agent with an upstream that does as it is told. */
-    private final class Agent {
-        private final String name;
-        private String instance = "i-1";
-        private long born = 1;
-        private long sequence;
-        private long accelerators = 8;
-        private List<RunRow> running = new ArrayList<>();
-        private List<EndRow> ended = new ArrayList<>();
-        private List<StopOrder> barred = new ArrayList<>();
-        private boolean looked = true;
-
-        Agent(String name) {
-            this.name = name;
-        }
-
-        CompletableFuture<AgentOrders> report(Dispatcher to) {
-            UpstreamNotice notice =
-                    new UpstreamNotice(
-                            instance,
-                            born,
-                            "service",
-                            "zone",
-                            UpstreamState.READY,
-                            new Resources(32_000, 100_000, accelerators),
-                            List.of("a", "r1"),
-                            "r1",
-                            0,
-                            sequence);
-            AgentReport report =
-                    new AgentReport(
-                            name, "p", ++sequence, 0, notice, looked, 0, running, ended, barred);
-            return to.report(report);
-        }
-
-        /** Reports, waits for orders and starts what they tell to start. */
-        AgentOrders exchange(Dispatcher to) {
-            CompletableFuture<AgentOrders> reply = report(to);
-            loop.advance(1_200);
-            AgentOrders orders = reply.join();
-            for (StartOrder start : orders.starts()) {
-                running.add(new RunRow(start.task(), start.run(), "", 100, 0));
-            }
-            return orders;
-        }
-
-        void end(RunEnd how) {
-            RunRow row = running.remove(0);
-            ended.add(new EndRow(ended.size() + 1, row.task(), row.run(), how, ""));
-        }
-    }
-
     private void accept(Dispatcher dispatcher, Submission submission) {
         CompletableFuture<Void> accepted = dispatcher.submit(submission, 2_000);
         loop.advance(50);
@@ -236,7 +182,7 @@
         @Test
         void tellsAnAgentOnlyWhatIsStored() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             agent.exchange(dispatcher);
             accept(dispatcher, job("j", 1, false));
             CompletableFuture<AgentOrders> reply = agent.report(dispatcher);
@@ -259,7 +205,7 @@
         @Test
         void repeatsAnOrderWhoseAnswerWasLost() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(dispatcher, job("j", 1, false));
             AgentOrders first = agent.exchange(dispatcher);
             agent.running.clear();
@@ -274,7 +220,7 @@
         void startsNothingInAZoneThatIsOut() {
             Dispatcher dispatcher = claim();
             fleet = new FleetView(CONFIGURATION, Set.of("zone"), 1);
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(dispatcher, job("j", 1, false));
 
             assertThat(agent.exchange(dispatcher).starts()).isEmpty();
@@ -287,7 +233,7 @@
         @Test
         void acknowledgesAnEndOnlyOnceItIsStored() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(dispatcher, job("j", 1, false));
             agent.exchange(dispatcher);
             agent.end(RunEnd.DONE);
@@ -304,7 +250,7 @@
         @Test
         void givesUpAfterTheAttemptsOfTheQueue() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(dispatcher, job("j", 1, false));
             agent.exchange(dispatcher);
             agent.end(RunEnd.FAILED);
@@ -320,7 +266,7 @@
         @Test
         void oneDoneMemberStandsForItsGang() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(dispatcher, job("j", 3, true));
             agent.exchange(dispatcher);
             assertThat(agent.running).hasSize(3);
@@ -333,7 +279,7 @@
         @Test
         void aGangRunsAgainOnlyWhenAllMembersHaveEnded() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(dispatcher, job("j", 2, true));
             agent.exchange(dispatcher);
             agent.end(RunEnd.FAILED);
@@ -354,7 +300,7 @@
             return JobSamples.job("j", 1, estimateMillis, false, false);
         }
 
-        private long millisUntilStopped(Dispatcher dispatcher, Agent agent) {
+        private long millisUntilStopped(Dispatcher dispatcher, PlayedAgent agent) {
             long start = loop.nowMillis();
             while (agent.exchange(dispatcher).stops().isEmpty()) {
                 assertThat(loop.nowMillis() - start).isLessThan(120_000);
@@ -365,7 +311,7 @@
         @Test
         void shortTasksAreGivenSecondsWhateverTheirEstimate() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(dispatcher, withoutCheckpoints(300));
             agent.exchange(dispatcher);
 
@@ -375,7 +321,7 @@
         @Test
         void eachRunIsGivenMoreTimeThanTheOneBefore() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(dispatcher, withoutCheckpoints(1_000));
             agent.exchange(dispatcher);
             long first = millisUntilStopped(dispatcher, agent);
@@ -393,7 +339,7 @@
         @Test
         void keepsRunsWhereTheyAre() {
             Dispatcher first = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(first, job("j", 2, true));
             agent.exchange(first);
 
@@ -408,7 +354,7 @@
         @Test
         void waitsForALookBeforeItJudgesARun() {
             Dispatcher first = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(first, job("j", 2, true));
             agent.exchange(first);
             List<RunRow> running = agent.running;
@@ -428,12 +374,12 @@
         void stopsNothingForAnUrgentJobBeforeAllAgentsCanHaveReported() {
             fleet = new FleetView(TWO_QUEUES, Set.of(), 0);
             Dispatcher first = claim();
-            Agent full = new Agent("full");
+            PlayedAgent full = new PlayedAgent("full", loop);
             accept(first, job("usual", 8, false));
             full.exchange(first);
 
             Dispatcher second = claim();
-            Agent idle = new Agent("idle");
+            PlayedAgent idle = new PlayedAgent("idle", loop);
             CompletableFuture<AgentOrders> orders = full.report(second);
             accept(second, urgent("urgent", 8));
             CompletableFuture<AgentOrders> starts = idle.report(second);
@@ -447,7 +393,7 @@
         void stopsLessUrgentRunsOnceAllAgentsCanHaveReported() {
             fleet = new FleetView(TWO_QUEUES, Set.of(), 0);
             Dispatcher first = claim();
-            Agent full = new Agent("full");
+            PlayedAgent full = new PlayedAgent("full", loop);
             accept(first, job("usual", 8, false));
             full.exchange(first);
 
@@ -466,6 +412,50 @@
             return new Submission(id, "urgent", "customer", "service", 0, usual.work());
         }
 
+        @Test
+        void learnsFromRunsThatTheOneBeforeHasStarted() {
+            fleet = new FleetView(TWO_QUEUES, Set.of(), 0);
+            Dispatcher first = claim();
+            PlayedAgent slow = new PlayedAgent("a", loop);
+            accept(first, JobSamples.job("long", 1, 1_000, false, false));
+            slow.exchange(first);
+
+            Dispatcher second = claim();
+            PlayedAgent other = new PlayedAgent("b", loop);
+            for (int i = 0; i < 7; i++) {
+                slow.report(second);
+                other.report(second);
+                loop.advance(1_000);
+            }
+            accept(second, urgent("urgent", 1));
+
+            assertThat(slow.exchange(second).starts()).isEmpty();
+            assertThat(other.exchange(second).starts()).hasSize(1);
+        }
+
+        @Test
+        void knowsTheSpeedOfUpstreamsFromTheOneBefore() {
+            Dispatcher first = claim();
+            PlayedAgent slow = new PlayedAgent("slow", loop);
+            for (int i = 0; i < 4; i++) {
+                accept(first, job("j" + i, 1, false));
+                slow.exchange(first);
+                slow.report(first);
+                loop.advance(2_000);
+                slow.end(RunEnd.DONE);
+                slow.report(first);
+                loop.advance(50);
+            }
+
+            JobStore.Content kept = JobStore.load(log).join();
+
+            assertThat(kept.speeds().get("slow").slowness()).isGreaterThan(1.2);
+            UpstreamHealth health = new UpstreamHealth();
+            health.restore(kept.speeds().get("slow"), 0, loop.contact().now().dateMillis());
+            assertThat(health.known()).isTrue();
+            assertThat(health.slowness()).isGreaterThan(1.2);
+        }
+
         @Test
         void stopsTheOneBefore() {
             Dispatcher first = claim();
@@ -480,12 +470,12 @@
         @Test
         void startsNothingAgainWhileALeaseMayLast() {
             Dispatcher first = claim();
-            Agent silent = new Agent("a");
+            PlayedAgent silent = new PlayedAgent("a", loop);
             accept(first, job("j", 1, false));
             silent.exchange(first);
 
             Dispatcher second = claim();
-            Agent other = new Agent("b");
+            PlayedAgent other = new PlayedAgent("b", loop);
             other.instance = "i-2";
             long until = TERMS.storeProofMillis() + TERMS.surelyLapsedMillis();
             for (long waited = 0; waited + 1_300 < until; waited += 1_200) {
@@ -517,7 +507,7 @@
         @Test
         void areNotGrantedWithoutProofOfTheClaim() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             assertThat(agent.exchange(dispatcher).leaseMillis()).isEqualTo(TERMS.leaseMillis());
             log.onAppend(MemoryKeyedLog.Fault.REFUSED);
             log.onRead(MemoryKeyedLog.Fault.REFUSED);
@@ -529,7 +519,7 @@
         @Test
         void areNotGrantedAfterASuspensionUntilTheLogWasAsked() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             agent.exchange(dispatcher);
             log.onRead(MemoryKeyedLog.Fault.REFUSED);
             loop.shiftDate(10_000);
@@ -540,10 +530,10 @@
         @Test
         void endRunsOfAnAgentThatIsSilentForTheirTime() {
             Dispatcher dispatcher = claim();
-            Agent silent = new Agent("a");
+            PlayedAgent silent = new PlayedAgent("a", loop);
             accept(dispatcher, job("j", 1, false));
             silent.exchange(dispatcher);
-            Agent other = new Agent("b");
+            PlayedAgent other = new PlayedAgent("b", loop);
             other.instance = "i-2";
             loop.advance(TERMS.surelyLapsedMillis());
             other.exchange(dispatcher);
@@ -555,7 +545,7 @@
         @Test
         void areOverWithTheLifeOfTheUpstream() {
             Dispatcher dispatcher = claim();
-            Agent agent = new Agent("a");
+            PlayedAgent agent = new PlayedAgent("a", loop);
             accept(dispatcher, job("j", 1, false));
             agent.exchange(dispatcher);
             agent.born = 2;
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/PlayedAgent.java
@@ -0,0 +1,63 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.fescueloom.fleet.UpstreamNotice;
+import org.fescueloom.fleet.UpstreamState;
+import org.fescueloom.work.Resources;
+import org.fescueloom.work.RunEnd;
+
+/** Plays one agent with an upstream that does as it is told. */
+final class PlayedAgent {
+    String instance = "i-1";
+    long born = 1;
+    long sequence;
+    long accelerators = 8;
+    List<RunRow> running = new ArrayList<>();
+    List<EndRow> ended = new ArrayList<>();
+    List<StopOrder> barred = new ArrayList<>();
+    boolean looked = true;
+    private final String name;
+    private final ManualLoop loop;
+
+    PlayedAgent(String name, ManualLoop loop) {
+        this.name = name;
+        this.loop = loop;
+    }
+
+    CompletableFuture<AgentOrders> report(Dispatcher to) {
+        UpstreamNotice notice =
+                new UpstreamNotice(
+                        instance,
+                        born,
+                        "service",
+                        "zone",
+                        UpstreamState.READY,
+                        new Resources(32_000, 100_000, accelerators),
+                        List.of("a", "r1"),
+                        "r1",
+                        0,
+                        sequence);
+        AgentReport report =
+                new AgentReport(
+                        name, "p", ++sequence, 0, notice, looked, 0, running, ended, barred);
+        return to.report(report);
+    }
+
+    /** Reports, waits for orders and starts what they tell to start. */
+    AgentOrders exchange(Dispatcher to) {
+        CompletableFuture<AgentOrders> reply = report(to);
+        loop.advance(1_200);
+        AgentOrders orders = reply.join();
+        for (StartOrder start : orders.starts()) {
+            running.add(new RunRow(start.task(), start.run(), "", 100, 0));
+        }
+        return orders;
+    }
+
+    void end(RunEnd how) {
+        RunRow row = running.remove(0);
+        ended.add(new EndRow(ended.size() + 1, row.task(), row.run(), how, ""));
+    }
+}
