--- /dev/null
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/LogFactorTest.java
@@ -0,0 +1,66 @@
+package org.fescueloom.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import org.junit.jupiter.api.Test;
+
+class LogFactorTest {
+    private static final double NOISE = 0.05;
+
+    @Test
+    void beginsAtOne() {
+        assertThat(new LogFactor(0.2).value()).isEqualTo(1.0);
+    }
+
+    @Test
+    void takesTheLargerPartOfADifferenceWhereItIsLessCertain() {
+        LogFactor certain = new LogFactor(0.01);
+        LogFactor doubtful = new LogFactor(0.5);
+
+        LogFactor.observeProduct(certain, doubtful, 2.0, NOISE);
+
+        assertThat(certain.value()).isBetween(1.0, 1.05);
+        assertThat(doubtful.value()).isGreaterThan(1.8);
+        assertThat(doubtful.variance()).isLessThan(0.1);
+    }
+
+    @Property(tries = 200, seed = "17")
+    void comesToTheProductThatIsObserved(@ForAll @DoubleRange(min = 0.2, max = 5) double product) {
+        LogFactor first = new LogFactor(0.2);
+        LogFactor second = new LogFactor(0.5);
+        for (int i = 0; i < 200; i++) {
+            LogFactor.observeProduct(first, second, product, NOISE);
+        }
+
+        assertThat(first.value() * second.value()).isCloseTo(product, within(0.02 * product));
+    }
+
+    @Test
+    void isRaisedButNeverLoweredByABound() {
+        LogFactor factor = new LogFactor(0.2);
+        factor.raiseTo(1.5);
+        factor.raiseTo(1.2);
+
+        assertThat(factor.value()).isCloseTo(1.5, within(1e-9));
+    }
+
+    @Test
+    void growsNoLessCertainThanItBegan() {
+        LogFactor factor = new LogFactor(0.2);
+        LogFactor.observeProduct(factor, new LogFactor(0.2), 1.0, NOISE);
+        factor.age(10);
+
+        assertThat(factor.variance()).isEqualTo(0.2);
+    }
+
+    @Test
+    void liesBelowItsUpperBound() {
+        LogFactor factor = new LogFactor(0.25);
+
+        assertThat(factor.upper(2)).isCloseTo(Math.exp(1), within(1e-9));
+    }
+}
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -372,12 +372,7 @@
 
         @Test
         void stopsNothingForAnUrgentJobBeforeAllAgentsCanHaveReported() {
-            fleet = new FleetView(TWO_QUEUES, Set.of(), 0);
-            Dispatcher first = claim();
-            PlayedAgent full = new PlayedAgent("full", loop);
-            accept(first, job("usual", 8, false));
-            full.exchange(first);
-
+            PlayedAgent full = fullAgent();
             Dispatcher second = claim();
             PlayedAgent idle = new PlayedAgent("idle", loop);
             CompletableFuture<AgentOrders> orders = full.report(second);
@@ -391,12 +386,7 @@
 
         @Test
         void stopsLessUrgentRunsOnceAllAgentsCanHaveReported() {
-            fleet = new FleetView(TWO_QUEUES, Set.of(), 0);
-            Dispatcher first = claim();
-            PlayedAgent full = new PlayedAgent("full", loop);
-            accept(first, job("usual", 8, false));
-            full.exchange(first);
-
+            PlayedAgent full = fullAgent();
             Dispatcher second = claim();
             full.report(second);
             accept(second, urgent("urgent", 8));
@@ -407,6 +397,16 @@
             assertThat(orders.join().stops()).hasSize(8);
         }
 
+        /** Returns an agent whose upstream is filled by a dispatcher with usual tasks. */
+        private PlayedAgent fullAgent() {
+            fleet = new FleetView(TWO_QUEUES, Set.of(), 0);
+            Dispatcher first = claim();
+            PlayedAgent full = new PlayedAgent("full", loop);
+            accept(first, job("usual", 8, false));
+            full.exchange(first);
+            return full;
+        }
+
         private Submission urgent(String id, int tasks) {
             Submission usual = job(id, tasks, false);
             return new Submission(id, "urgent", "customer", "service", 0, usual.work());
