Give a run that stands still no more time because its upstream looks slow

Change: what a run shows by going on counts for placing tasks until a run ends there; the time that runs are allowed goes by ends only.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/LogFactor.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/LogFactor.java
@@ -54,15 +54,6 @@
         variance *= 1 - gain;
     }
 
-    /**
-     * Raises the estimate to a bound that the factor surely reaches.
-     *
-     * @param bound the bound, positive
-     */
-    void raiseTo(double bound) {
-        mean = Math.max(mean, Math.log(bound));
-    }
-
     /**
      * Loses certainty, at most back to where it began.
      *
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
@@ -38,6 +38,7 @@
 
     private final LogFactor slowness = new LogFactor(SPEED_VARIANCE);
     private int failuresInRow;
+    private double shownSlowness;
     private long learnedMillis;
     private boolean known;
     private long pausedUntil = Long.MIN_VALUE;
@@ -77,6 +78,7 @@
     public void done(double ratio, StepPace pace, boolean shared, long now) {
         failuresInRow = 0;
         known = true;
+        shownSlowness = 0;
         slowness.age(Math.max(0, now - learnedMillis) * AGING_PER_MILLI);
         learnedMillis = now;
         double bounded = Math.min(MAX_RATIO, Math.max(1 / MAX_RATIO, ratio));
@@ -87,13 +89,14 @@
 
     /**
      * Takes in that a run goes on, which shows that the upstream is slow once it takes longer than
-     * the step can need at usual speed.
+     * the step can need at usual speed. That holds until a run ends there.
      *
      * @param ratio its time so far over the estimate, positive
      * @param pace what is known of its step, not null
      */
     public void running(double ratio, StepPace pace) {
-        slowness.raiseTo(Math.min(MAX_SLOWNESS, ratio / pace.error().upper(SURE_DEVIATIONS)));
+        double least = ratio / pace.error().upper(SURE_DEVIATIONS);
+        shownSlowness = Math.max(shownSlowness, Math.min(MAX_SLOWNESS, least));
     }
 
     /**
@@ -138,6 +141,15 @@
      * @return its run times over those of a usual upstream; 1 where nothing is known
      */
     public double slowness() {
+        return Math.max(slowness.value(), shownSlowness);
+    }
+
+    /**
+     * Returns how slow the upstream is by the runs that have ended there.
+     *
+     * @return their run times over those of a usual upstream; 1 where nothing is known
+     */
+    public double provenSlowness() {
         return slowness.value();
     }
 
@@ -147,7 +159,8 @@
      * @return its run times over those of a usual upstream; above 1 where nothing is known
      */
     public double slownessAtWorst() {
-        return slowness.upper(LIKELY_DEVIATIONS);
+        double doubt = slowness.upper(LIKELY_DEVIATIONS) / slowness.value();
+        return doubt * slowness();
     }
 
     /**
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/LogFactorTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/LogFactorTest.java
@@ -39,15 +39,6 @@
         assertThat(first.value() * second.value()).isCloseTo(product, within(0.02 * product));
     }
 
-    @Test
-    void isRaisedButNeverLoweredByABound() {
-        LogFactor factor = new LogFactor(0.2);
-        factor.raiseTo(1.5);
-        factor.raiseTo(1.2);
-
-        assertThat(factor.value()).isCloseTo(1.5, within(1e-9));
-    }
-
     @Test
     void growsNoLessCertainThanItBegan() {
         LogFactor factor = new LogFactor(0.2);
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/UpstreamHealthTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/UpstreamHealthTest.java
@@ -85,6 +85,10 @@
             health.running(2.5, pace);
 
             assertThat(health.slowness()).isGreaterThan(1.3);
+            assertThat(health.slownessAtWorst()).isGreaterThan(1.3);
+            assertThat(health.provenSlowness()).isEqualTo(1.0);
+            health.done(1.0, pace, false, 0);
+            assertThat(health.slowness()).isLessThan(1.1);
         }
 
         @Test
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRuns.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRuns.java
@@ -72,7 +72,7 @@
 
     /** Returns what a first run may take; each further run gets as much time again. */
     private static double overdueMillis(AgentView agent, StepSpec spec) {
-        double slowness = Math.max(1.0, agent.health().slowness());
+        double slowness = Math.max(1.0, agent.health().provenSlowness());
         return OVERDUE_FACTOR * slowness * spec.estimateMillis() + OVERDUE_MARGIN_MILLIS;
     }
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -318,6 +318,19 @@
             assertThat(millisUntilStopped(dispatcher, agent)).isGreaterThan(8_000);
         }
 
+        @Test
+        void aRunThatStandsStillGetsNoMoreTimeByMakingItsUpstreamLookSlow() {
+            Dispatcher dispatcher = claim();
+            PlayedAgent agent = new PlayedAgent("a", loop);
+            accept(dispatcher, withoutCheckpoints(1_000));
+            agent.exchange(dispatcher);
+
+            long allowed = 3_300 + 8_000;
+            long twoExchanges = 2 * 1_200;
+            assertThat(millisUntilStopped(dispatcher, agent))
+                    .isLessThanOrEqualTo(allowed + twoExchanges);
+        }
+
         @Test
         void eachRunIsGivenMoreTimeThanTheOneBefore() {
             Dispatcher dispatcher = claim();
