Forget what was learned of a job once it is no longer kept

Cause (read in the diff): what is learned of the steps of a job was forgotten at its end, and made again by runs that were still listed after it; what was known of failed runs of gangs was never forgotten. Both grew by some entries a job for as long as a dispatcher lives. Now they go with the job's record.

run-assigned also tells the slowness that the placement went by.

Not measured: no decision changes.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -208,7 +208,7 @@
             }
         }
         for (String id : old) {
-            state.jobs().remove(id);
+            runs.forget(state.jobs().remove(id));
             state.storedViews().remove(id);
             state.writer().put(JobStore.progressKey(id), () -> new byte[0]);
             state.writer().put(JobStore.submissionKey(id), () -> new byte[0]);
@@ -294,6 +294,7 @@
                 .field("waited", unit.waitedMillis())
                 .field("priority", unit.priority())
                 .field("report-age", now - agent.heardMillis())
+                .field("slowness", Math.round(100 * agent.health().slowness()) / 100.0)
                 .field("config", state.fleet().version())
                 .field("epoch", state.epoch())
                 .info();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -257,7 +257,6 @@
     void end(WorkJob job, JobPhase phase) {
         long now = state.dateMillis();
         job.end(phase, now);
-        forget(job);
         EventLog.event("job-ended")
                 .field("job", job.submission().id())
                 .field("queue", job.submission().queue())
@@ -276,9 +275,12 @@
         }
     }
 
-    private void forget(WorkJob job) {
+    /** Forgets what was learned of the steps of a job that is no longer kept. */
+    void forget(WorkJob job) {
+        String id = job.submission().id();
+        failedGangRuns.removeIf(run -> run.startsWith(id + '.'));
         for (int s = 0; s < job.submission().work().steps().size(); s++) {
-            String name = stepName(job.submission().id(), s);
+            String name = stepName(id, s);
             failedOn.remove(name);
             paces.remove(name);
         }
