Rank an upstream once a unit, not at each comparison

A search for the places of a unit worked out the speed class of each upstream, with two logarithms, at every comparison and for every task. It is worked out once a unit and upstream now; the order is the same.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitFitter.java
@@ -120,10 +120,12 @@
             WaitingUnit unit, String rack, Function<String, Resources> room) {
         Resources need = unit.spec().room();
         Map<String, Resources> left = new HashMap<>();
+        Map<String, Double> preferences = new HashMap<>();
         Map<String, Integer> used = new HashMap<>(unit.perUpstream());
         List<UpstreamRoom> candidates = candidates(unit, rack);
         for (UpstreamRoom upstream : candidates) {
             left.put(upstream.agent(), room.apply(upstream.agent()));
+            preferences.put(upstream.agent(), preference(unit, upstream));
         }
         Map<Integer, String> found = new LinkedHashMap<>();
         for (int index : unit.indexes()) {
@@ -131,7 +133,7 @@
                     candidates.stream()
                             .filter(u -> need.fitsIn(left.get(u.agent())))
                             .filter(u -> underLimit(unit.spec(), used, u.agent()))
-                            .min(byPreference(unit, left, used));
+                            .min(byPreference(unit, preferences, left, used));
             if (best.isEmpty()) {
                 break;
             }
@@ -150,9 +152,12 @@
 
     /** Prefers upstreams by speed, and among equals the one with the least room left. */
     private static Comparator<UpstreamRoom> byPreference(
-            WaitingUnit unit, Map<String, Resources> left, Map<String, Integer> used) {
+            WaitingUnit unit,
+            Map<String, Double> preferences,
+            Map<String, Resources> left,
+            Map<String, Integer> used) {
         return Comparator.comparing((UpstreamRoom u) -> !proves(unit, u, used))
-                .thenComparingDouble(u -> preference(unit, u))
+                .thenComparingDouble(u -> preferences.get(u.agent()))
                 .thenComparingLong(u -> left.get(u.agent()).accelerators())
                 .thenComparingLong(u -> left.get(u.agent()).cpuMillis())
                 .thenComparing(UpstreamRoom::agent);
