Keep one copy of what the dispatcher says in several places

Found by reading the whole change again; no decision changes. - JobStore read jobs and speeds with the same loop; one reads both. - The names of steps under which RunTracker notes and RoundInput looks up were built apart in five places; StepNames builds them. - Whether tasks may start on an upstream, the last gate of a zone that is out, stood in OrderIssuer and RoundInput; AgentView tells it. - Five loops over all runs to stop some of them are one, and a preemption of several units or the end of a gang passes over the runs once, not once a unit or member. - DurableWriter noted the loss of the store twice; AgentView summed room twice; TaskSchedulerTest built the same unit twice. - Gone, since nothing read them: the time to stop in DispatchTerms, the version in PeerHello, the listener of FleetFollower, and the end of the log in Dispatcher.Start, which was always its epoch.

Assertions are as before.

--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -103,6 +103,27 @@
             return new RunningUnit(id, "c", priority, true, Map.of(agent, NODE), loss);
         }
 
+        /** Returns the gang as a job whose customer is guaranteed what it needs. */
+        private WaitingUnit withinItsGuarantee() {
+            return new WaitingUnit(
+                    "j",
+                    0,
+                    0,
+                    List.of(0, 1),
+                    gang,
+                    "s",
+                    "c",
+                    0,
+                    Prospect.IN_TIME,
+                    1_000,
+                    0,
+                    0,
+                    true,
+                    1.5,
+                    Set.of(),
+                    Map.of());
+        }
+
         @Test
         void stopWhatIsLessUrgent() {
             List<RunningUnit> running = List.of(running("a", 1, "x", 5), running("b", 2, "y", 5));
@@ -124,24 +145,7 @@
 
         @Test
         void takeBackWhatOthersHaveBorrowed() {
-            WaitingUnit within =
-                    new WaitingUnit(
-                            "j",
-                            0,
-                            0,
-                            List.of(0, 1),
-                            gang,
-                            "s",
-                            "c",
-                            0,
-                            Prospect.IN_TIME,
-                            1_000,
-                            0,
-                            0,
-                            true,
-                            1.5,
-                            Set.of(),
-                            Map.of());
+            WaitingUnit within = withinItsGuarantee();
             RunningUnit borrower =
                     new RunningUnit("b", "other", 0, false, Map.of("x", NODE, "y", NODE), 5);
 
@@ -157,24 +161,7 @@
         void throwNoMoreWorkAwayThanTheyBringUnlessGuaranteed() {
             List<RunningUnit> dear = List.of(running("a", 1, "x", 500), running("b", 2, "y", 500));
             WaitingUnit plain = unit("j", 0, gang);
-            WaitingUnit guaranteed =
-                    new WaitingUnit(
-                            "j",
-                            0,
-                            0,
-                            List.of(0, 1),
-                            gang,
-                            "s",
-                            "c",
-                            0,
-                            Prospect.IN_TIME,
-                            1_000,
-                            0,
-                            0,
-                            true,
-                            1.5,
-                            Set.of(),
-                            Map.of());
+            WaitingUnit guaranteed = withinItsGuarantee();
 
             assertThat(plain.coreSeconds()).isLessThan(1_000);
             assertThat(TaskScheduler.plan(List.of(plain), dear, full).stops()).isEmpty();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -4,7 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.fescueloom.fleet.UpstreamNotice;
 import org.fescueloom.fleet.UpstreamState;
 import org.fescueloom.schedule.UpstreamHealth;
@@ -130,18 +132,18 @@
 
     /** Returns what all runs that may exist take. */
     Resources used() {
-        Resources sum = Resources.NONE;
-        for (AssignedRun run : runs.values()) {
-            sum = sum.plus(run.room());
-        }
-        return sum;
+        return roomOf(run -> true);
     }
 
     /** Returns what the runs take that are told to stop. */
     Resources stopping() {
+        return roomOf(AssignedRun::stopRequested);
+    }
+
+    private Resources roomOf(Predicate<AssignedRun> which) {
         Resources sum = Resources.NONE;
         for (AssignedRun run : runs.values()) {
-            if (run.stopRequested()) {
+            if (which.test(run)) {
                 sum = sum.plus(run.room());
             }
         }
@@ -158,6 +160,11 @@
         return looking() && notice().state() == UpstreamState.READY;
     }
 
+    /** Tells whether tasks may start on the upstream, given the zones that are out. */
+    boolean startAllowed(Set<String> zonesOut) {
+        return ready() && !zonesOut.contains(notice().zone());
+    }
+
     /** Parks a report until there is something to tell; answers the one that was parked before. */
     void park(CompletableFuture<AgentOrders> reply, long nowMillis) {
         waiting = reply;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
@@ -39,10 +39,7 @@
                                         .thenApply(
                                                 content ->
                                                         new Dispatcher.Start(
-                                                                won.end(),
-                                                                won.end(),
-                                                                won.moment(),
-                                                                content)));
+                                                                won.end(), won.moment(), content)));
     }
 
     private record Won(long end, StoreContact.Moment moment) {}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.schedule.UpstreamSpeed;
@@ -172,6 +173,17 @@
         }
     }
 
+    /** Marks all runs of a kind to be stopped; their agents are told with the next orders. */
+    void requestStops(Predicate<AssignedRun> which) {
+        for (AgentView agent : agents.values()) {
+            for (AssignedRun run : agent.runs().values()) {
+                if (which.test(run)) {
+                    run.requestStop();
+                }
+            }
+        }
+    }
+
     /** Names what ends together with a task. */
     String groupOf(TaskKey task) {
         WorkJob job = jobs.get(task.job());
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchTerms.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchTerms.java
@@ -7,14 +7,9 @@
  * @param storeProofMillis how old the last answer of the log service may be when a lease is granted
  * @param freshReportMillis how old a report may be for its upstream to be given tasks
  * @param keepEndedMillis how long an ended job is known
- * @param stopMillis how long an upstream may take to stop a run
  */
 public record DispatchTerms(
-        long leaseMillis,
-        long storeProofMillis,
-        long freshReportMillis,
-        long keepEndedMillis,
-        long stopMillis) {
+        long leaseMillis, long storeProofMillis, long freshReportMillis, long keepEndedMillis) {
     /** The slowest clock of an upstream, over a true one, and a margin. */
     private static final double SLOW_CLOCK = 1.03;
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -58,13 +58,12 @@
     /**
      * Holds what a dispatcher starts from.
      *
-     * @param epoch the offset behind its claim, which orders all dispatchers
-     * @param endOffset where the log of jobs ends
+     * @param epoch the offset behind its claim, where the log of jobs ends; it orders all
+     *     dispatchers
      * @param claimed when the claim was sent
      * @param content all that is kept
      */
-    record Start(
-            long epoch, long endOffset, StoreContact.Moment claimed, JobStore.Content content) {}
+    record Start(long epoch, StoreContact.Moment claimed, JobStore.Content content) {}
 
     Dispatcher(
             Start start,
@@ -80,7 +79,7 @@
         contact.confirm(start.claimed());
         DurableWriter writer =
                 new DurableWriter(
-                        log, JobStore.TOPIC, start.endOffset(), loop, contact, metrics, deposed);
+                        log, JobStore.TOPIC, start.epoch(), loop, contact, metrics, deposed);
         state =
                 new DispatchState(
                         start.epoch(), start.content(), terms, fleet, contact, writer, metrics);
@@ -189,7 +188,7 @@
     private void checkAgent(AgentView agent, long now) {
         if (now - agent.grantedMillis() > state.terms().surelyLapsedMillis()) {
             runs.endAll(agent, RunEnd.LAPSED);
-        } else if (agent.looking() && !orders.startAllowed(agent)) {
+        } else if (agent.looking() && !agent.startAllowed(state.fleet().zonesOut())) {
             // The upstream was looked at: what it has not listed has not started.
             for (AssignedRun run : agent.runs().values()) {
                 if (!run.seen()) {
@@ -242,10 +241,7 @@
         }
         SchedulePlan plan = TaskScheduler.plan(waiting, mayBeStopped(input, now), input.rooms());
         plan.starts().forEach(start -> assign(start, now));
-        plan.stops().forEach(this::preempt);
-        if (!plan.stops().isEmpty()) {
-            state.agents().values().forEach(orders::answerIfNeeded);
-        }
+        preempt(plan.stops());
         state.writer().flush();
     }
 
@@ -300,7 +296,20 @@
                 .info();
     }
 
-    private void preempt(RunningUnit unit) {
+    private void preempt(List<RunningUnit> units) {
+        if (units.isEmpty()) {
+            return;
+        }
+        Set<String> groups = new HashSet<>();
+        for (RunningUnit unit : units) {
+            notePreempted(unit);
+            groups.add(unit.id());
+        }
+        state.requestStops(run -> groups.contains(state.groupOf(run.task())));
+        state.agents().values().forEach(orders::answerIfNeeded);
+    }
+
+    private void notePreempted(RunningUnit unit) {
         EventLog.event("unit-preempted")
                 .field("unit", unit.id())
                 .field("priority", unit.priority())
@@ -308,13 +317,6 @@
                 .field("epoch", state.epoch())
                 .info();
         state.metrics().count("tasks.preempted");
-        for (AgentView agent : state.agents().values()) {
-            for (AssignedRun run : agent.runs().values()) {
-                if (state.groupOf(run.task()).equals(unit.id())) {
-                    run.requestStop();
-                }
-            }
-        }
     }
 
     /** Says that this process does not dispatch; nothing was done. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
@@ -196,10 +196,7 @@
     private void retry(StoreContact.Moment sent, Throwable error) {
         FailureType type = Failures.typeOf(error);
         metrics.countRetry(type);
-        if (failingSinceMillis < 0) {
-            failingSinceMillis = sent.steadyMillis();
-            EventLog.event("store-lost").field("end", endOffset).error(error).warn();
-        }
+        noteLost(sent, error);
         undecided |= type != FailureType.LOG_UNAVAILABLE;
         if (undecided) {
             loop.schedule(this::send, backoff.nextMillis(), TimeUnit.MILLISECONDS);
@@ -208,6 +205,13 @@
         }
     }
 
+    private void noteLost(StoreContact.Moment sent, Throwable error) {
+        if (failingSinceMillis < 0) {
+            failingSinceMillis = sent.steadyMillis();
+            EventLog.event("store-lost").field("end", endOffset).error(error).warn();
+        }
+    }
+
     /** Marks everything as waiting again, after the log service has surely stored none of it. */
     private void takeBack() {
         Map<String, Supplier<byte[]>> all = new LinkedHashMap<>(batch.values());
@@ -289,9 +293,8 @@
             return;
         }
         if (error != null) {
-            if (failingSinceMillis < 0 && contact.confirmedBefore(sent)) {
-                failingSinceMillis = sent.steadyMillis();
-                EventLog.event("store-lost").field("end", endOffset).error(error).warn();
+            if (contact.confirmedBefore(sent)) {
+                noteLost(sent, error);
             }
         } else if (slice.endOffset() > endOffset) {
             replaced(slice.endOffset());
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -266,7 +266,6 @@
                 mine != null ? 0 : now() - leaderHeardMillis,
                 mine != null ? mine.storeFailingMillis() : 0,
                 leaving,
-                fleet.get().version(),
                 List.copyOf(entries));
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.Failures;
@@ -35,7 +34,6 @@
     private final OperatorDecoder decoder;
     private final ScheduledExecutorService loop;
     private final Metrics metrics;
-    private final Consumer<FleetView> listener;
     private final Backoff backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, new Random());
     private volatile FleetView view = FleetView.EMPTY;
     private volatile boolean failing;
@@ -49,21 +47,18 @@
      * @param decoder reads the records, not null
      * @param loop runs the follower, not null
      * @param metrics counts what is read, not null
-     * @param listener is told of each new view on the thread of {@code loop}, not null
      */
     public FleetFollower(
             KeyedLog log,
             String topic,
             OperatorDecoder decoder,
             ScheduledExecutorService loop,
-            Metrics metrics,
-            Consumer<FleetView> listener) {
+            Metrics metrics) {
         this.log = log;
         this.topic = topic;
         this.decoder = decoder;
         this.loop = loop;
         this.metrics = metrics;
-        this.listener = listener;
     }
 
     /**
@@ -214,7 +209,6 @@
                     .field("offset", newer.offset())
                     .info();
             metrics.count("fleet.changes");
-            listener.accept(newer);
         }
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.json.Json;
@@ -65,8 +66,19 @@
     /** Reads everything; to be called by the holder of the claim, while nobody else writes. */
     static CompletableFuture<Content> load(KeyedLog log) {
         Map<String, byte[]> values = new HashMap<>();
-        return loadFrom(log, "", values)
-                .thenApply(done -> new Content(jobs(values), speeds(values)));
+        return loadFrom(log, "", values).thenApply(done -> content(values));
+    }
+
+    private static Content content(Map<String, byte[]> values) {
+        return new Content(
+                readAll(
+                        values,
+                        SUBMISSION_PREFIX,
+                        (id, value) -> job(value, values.get(progressKey(id)))),
+                readAll(
+                        values,
+                        SPEED_PREFIX,
+                        (agent, value) -> Json.read(value, UpstreamSpeed.class)));
     }
 
     private static CompletableFuture<Void> loadFrom(
@@ -83,36 +95,24 @@
                         });
     }
 
-    private static Map<String, WorkJob> jobs(Map<String, byte[]> values) {
-        Map<String, WorkJob> jobs = new LinkedHashMap<>();
-        values.forEach(
-                (key, value) -> {
-                    if (key.startsWith(SUBMISSION_PREFIX)) {
-                        String id = key.substring(SUBMISSION_PREFIX.length());
-                        try {
-                            jobs.put(id, job(value, values.get(progressKey(id))));
-                        } catch (SchedulerException e) {
-                            EventLog.event("record-skipped").field("key", key).error(e).error();
-                        }
-                    }
-                });
-        return jobs;
-    }
-
-    private static Map<String, UpstreamSpeed> speeds(Map<String, byte[]> values) {
-        Map<String, UpstreamSpeed> speeds = new HashMap<>();
+    /**
+     * Reads the records of one kind, by the rest of their keys; skips those that are unreadable.
+     */
+    private static <T> Map<String, T> readAll(
+            Map<String, byte[]> values, String prefix, BiFunction<String, byte[], T> reader) {
+        Map<String, T> found = new LinkedHashMap<>();
         values.forEach(
                 (key, value) -> {
-                    if (key.startsWith(SPEED_PREFIX)) {
-                        String agent = key.substring(SPEED_PREFIX.length());
+                    if (key.startsWith(prefix)) {
+                        String id = key.substring(prefix.length());
                         try {
-                            speeds.put(agent, Json.read(value, UpstreamSpeed.class));
+                            found.put(id, reader.apply(id, value));
                         } catch (SchedulerException e) {
                             EventLog.event("record-skipped").field("key", key).error(e).error();
                         }
                     }
                 });
-        return speeds;
+        return found;
     }
 
     private static WorkJob job(byte[] submission, byte[] progress) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
@@ -88,7 +88,7 @@
             if (run.stopRequested()) {
                 stops.add(new StopOrder(run.task().toString(), run.number(), run.boot()));
                 run.markOrdered(now);
-            } else if (!run.seen() && proven && startAllowed(agent)) {
+            } else if (!run.seen() && proven && agent.startAllowed(state.fleet().zonesOut())) {
                 starts.add(startOrder(run));
                 run.markOrdered(now);
             }
@@ -108,11 +108,6 @@
                 entries.get());
     }
 
-    /** Tells whether tasks may start on the upstream of an agent. */
-    boolean startAllowed(AgentView agent) {
-        return agent.ready() && !state.fleet().zonesOut().contains(agent.notice().zone());
-    }
-
     /** Stops what runs on the upstream without a record. */
     private static void addUnknownRuns(AgentView agent, List<StopOrder> stops) {
         if (agent.report() == null || agent.notice() == null) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/PeerHello.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/PeerHello.java
@@ -13,7 +13,6 @@
  * @param storeFailingMillis for how long the log service has failed the dispatcher, in
  *     milliseconds; of no meaning unless the sender dispatches
  * @param leaving whether the sender shuts down
- * @param configVersion the version of the configuration that it has read
  * @param entries the entries that it knows, not null
  */
 public record PeerHello(
@@ -23,7 +22,6 @@
         long heardMillis,
         long storeFailingMillis,
         boolean leaving,
-        long configVersion,
         List<String> entries) {
     /** Checks the values. */
     public PeerHello {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundInput.java
@@ -96,9 +96,8 @@
     }
 
     private boolean mayTakeTasks(AgentView agent) {
-        return agent.ready()
-                && steadyMillis - agent.heardMillis() < terms.freshReportMillis()
-                && !fleet.zonesOut().contains(agent.notice().zone());
+        return agent.startAllowed(fleet.zonesOut())
+                && steadyMillis - agent.heardMillis() < terms.freshReportMillis();
     }
 
     /** Returns the tasks of a job that may start now. */
@@ -152,10 +151,11 @@
                         objective,
                         Math.max(0, dateMillis - due),
                         waitTimes.waited(
-                                submission.id() + '.' + occurrence + '.' + step, steadyMillis),
+                                StepNames.ofOccurrence(submission.id(), occurrence, step),
+                                steadyMillis),
                         guaranteed(job),
                         factor,
-                        failedOn.getOrDefault(submission.id() + '.' + step, Set.of()),
+                        failedOn.getOrDefault(StepNames.ofStep(submission.id(), step), Set.of()),
                         perUpstream));
     }
 
@@ -206,9 +206,7 @@
 
     /** Names what ends together: the gang of a task, or the task alone. */
     static String groupOf(TaskKey task, StepSpec spec) {
-        return spec.gang()
-                ? task.job() + '.' + task.occurrence() + '.' + task.step()
-                : task.toString();
+        return spec.gang() ? StepNames.ofOccurrence(task) : task.toString();
     }
 
     private RunningUnit runningUnit(String id, List<AssignedRun> runs, WorkJob job) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -157,29 +157,21 @@
     }
 
     private static String gangRun(AssignedRun run) {
-        TaskKey task = run.task();
-        return task.job() + '.' + task.occurrence() + '.' + task.step() + '#' + run.number();
+        return StepNames.ofOccurrence(run.task()) + '#' + run.number();
     }
 
     /** One end of a gang that is done stands for all its members. */
     private void gangDone(WorkJob job, AssignedRun run) {
+        Set<TaskKey> done = new HashSet<>();
         for (TaskKey key : DispatchState.membersOf(job, run.task())) {
             TaskRecord task = job.task(key);
             if (task != null && task.run() == run.number()) {
                 job.put(key, new TaskRecord(TaskPhase.DONE, task.run(), null, task.failures(), ""));
-                stopRest(key);
-            }
-        }
-    }
-
-    /** Room is free only once the upstream has listed the end of a run. */
-    private void stopRest(TaskKey key) {
-        for (AgentView agent : state.agents().values()) {
-            AssignedRun rest = agent.runs().get(key.toString());
-            if (rest != null) {
-                rest.requestStop();
+                done.add(key);
             }
         }
+        // Room is free only once the upstream has listed the end of a run.
+        state.requestStops(rest -> done.contains(rest.task()));
     }
 
     /** Learns from an end how fast the upstream is and whether it can be trusted. */
@@ -225,11 +217,7 @@
     }
 
     private static String stepName(TaskKey task) {
-        return stepName(task.job(), task.step());
-    }
-
-    private static String stepName(String job, int step) {
-        return job + '.' + step;
+        return StepNames.ofStep(task.job(), task.step());
     }
 
     /** Returns the agents on which a run of a step has failed, by "JOB.STEP". */
@@ -265,14 +253,9 @@
                 .field("millis", now - job.submission().acceptedAtMillis())
                 .info();
         state.metrics().count("tasks.jobs-" + phase.text());
-        for (AgentView agent : state.agents().values()) {
-            for (AssignedRun run : agent.runs().values()) {
-                if (run.task().job().equals(job.submission().id())) {
-                    run.requestStop();
-                }
-            }
-            orders.answerIfNeeded(agent);
-        }
+        String id = job.submission().id();
+        state.requestStops(run -> run.task().job().equals(id));
+        state.agents().values().forEach(orders::answerIfNeeded);
     }
 
     /** Forgets what was learned of the steps of a job that is no longer kept. */
@@ -280,7 +263,7 @@
         String id = job.submission().id();
         failedGangRuns.removeIf(run -> run.startsWith(id + '.'));
         for (int s = 0; s < job.submission().work().steps().size(); s++) {
-            String name = stepName(id, s);
+            String name = StepNames.ofStep(id, s);
             failedOn.remove(name);
             paces.remove(name);
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRuns.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRuns.java
@@ -39,13 +39,7 @@
             }
         }
         if (!groups.isEmpty()) {
-            for (AgentView agent : state.agents().values()) {
-                for (AssignedRun run : agent.runs().values()) {
-                    if (groups.contains(state.groupOf(run.task()))) {
-                        run.requestStop();
-                    }
-                }
-            }
+            state.requestStops(run -> groups.contains(state.groupOf(run.task())));
         }
     }
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -22,7 +22,7 @@
 
 class EntryNodeTest {
     private static final long WAIT_SECONDS = 30;
-    private static final DispatchTerms TERMS = new DispatchTerms(7_000, 6_000, 1_800, 60_000, 400);
+    private static final DispatchTerms TERMS = new DispatchTerms(7_000, 6_000, 1_800, 60_000);
     private static final FleetView FLEET =
             new FleetView(
                     new FleetConfiguration(
