Tell the age of the configuration that decided a refusal

Lost and regained lines of the operators' log now carry the version held, its age, how long the loss lasted and how long the first answer took; the age is a gauge, too. An entry that follows takes an answer as proof from when it asked. No decision reads the age yet.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -22,7 +22,7 @@
  * <p>Reads the newest records, then waits for further ones. Starts again with the newest records
  * when the log no longer holds those that follow.
  */
-public final class FleetFollower {
+public final class FleetFollower implements FleetKnowledge {
     /** How long one read waits; short enough to notice a silent connection within seconds. */
     private static final Duration WAIT = Duration.ofMillis(2_000);
 
@@ -36,8 +36,10 @@
     private final Metrics metrics;
     private final Backoff backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, new Random());
     private volatile FleetView view = FleetView.EMPTY;
+    private final StoreContact contact;
     private volatile boolean failing;
     private volatile boolean closed;
+    private long failingSinceMillis;
 
     /**
      * Creates a follower.
@@ -59,17 +61,21 @@
         this.decoder = decoder;
         this.loop = loop;
         this.metrics = metrics;
+        contact = StoreContact.onSystemClocks();
+        metrics.registry().gauge("fleet.version", () -> () -> view.version());
+        metrics.registry().gauge("fleet.age-millis", () -> this::ageMillis);
     }
 
-    /**
-     * Returns what is known now.
-     *
-     * @return the view, never null
-     */
+    @Override
     public FleetView view() {
         return view;
     }
 
+    @Override
+    public long ageMillis() {
+        return contact.ageMillis();
+    }
+
     /**
      * Tells whether the log service fails this process now.
      *
@@ -90,13 +96,14 @@
     }
 
     private void readNewest() {
+        StoreContact.Moment sent = contact.now();
         readPages("", new ArrayList<>(), -1)
                 .whenCompleteAsync(
                         (snapshot, error) -> {
                             if (error != null) {
                                 retry(this::readNewest, error);
                             } else {
-                                regained();
+                                regained(sent);
                                 replaceAll(snapshot);
                                 readOn();
                             }
@@ -127,6 +134,7 @@
         if (closed) {
             return;
         }
+        StoreContact.Moment sent = contact.now();
         log.read(topic, view.offset(), WAIT)
                 .whenCompleteAsync(
                         (slice, error) -> {
@@ -135,7 +143,7 @@
                             } else if (slice.expired()) {
                                 readNewest();
                             } else {
-                                regained();
+                                regained(sent);
                                 apply(slice.records());
                                 readOn();
                             }
@@ -147,19 +155,28 @@
         metrics.countRetry(Failures.typeOf(error));
         if (!failing) {
             failing = true;
+            failingSinceMillis = contact.now().steadyMillis();
             EventLog.event("operator-log-lost")
                     .field("offset", view.offset())
+                    .field("config", view.version())
+                    .field("age", ageMillis())
                     .error(Failures.causeOf(error))
                     .warn();
         }
         loop.schedule(step, backoff.nextMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void regained() {
+    private void regained(StoreContact.Moment sent) {
         backoff.reset();
+        contact.confirm(sent);
         if (failing) {
             failing = false;
-            EventLog.event("operator-log-regained").field("offset", view.offset()).info();
+            EventLog.event("operator-log-regained")
+                    .field("offset", view.offset())
+                    .field("config", view.version())
+                    .field("millis", contact.now().steadyMillis() - failingSinceMillis)
+                    .field("answer-took", ageMillis())
+                    .info();
         }
     }
 
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetKnowledge.java
@@ -0,0 +1,18 @@
+package org.fescueloom.daemon.dispatch;
+
+/** Tells what a process knows of what operators have set, and how old that is. */
+public interface FleetKnowledge {
+    /**
+     * Returns what is known now.
+     *
+     * @return the view, never null
+     */
+    FleetView view();
+
+    /**
+     * Returns how long ago the view was last known to be the newest.
+     *
+     * @return the time in milliseconds; very large if it never was
+     */
+    long ageMillis();
+}
