Notice at once that the operators' log can be read again

Cause: the first read after a failure waited for news like any other, so its answer, the only proof that the store is back, came up to 2 s late.

Ruled out: the pauses between tries; they are half a second at most.

Change: only a read that has found nothing new is followed by one that waits.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -40,6 +40,7 @@
     private volatile boolean failing;
     private volatile boolean closed;
     private long failingSinceMillis;
+    private boolean settled;
 
     /**
      * Creates a follower.
@@ -96,6 +97,7 @@
     }
 
     private void readNewest() {
+        settled = false;
         StoreContact.Moment sent = contact.now();
         readPages("", new ArrayList<>(), -1)
                 .whenCompleteAsync(
@@ -134,15 +136,20 @@
         if (closed) {
             return;
         }
+        // Only a read that found nothing new is followed by one that waits: the first answer after
+        // a failure comes at once.
+        Duration wait = settled ? WAIT : Duration.ZERO;
         StoreContact.Moment sent = contact.now();
-        log.read(topic, view.offset(), WAIT)
+        log.read(topic, view.offset(), wait)
                 .whenCompleteAsync(
                         (slice, error) -> {
                             if (error != null) {
+                                settled = false;
                                 retry(this::readOn, error);
                             } else if (slice.expired()) {
                                 readNewest();
                             } else {
+                                settled = slice.records().isEmpty();
                                 regained(sent);
                                 apply(slice.records());
                                 readOn();
