Let entries pass on what operators have set while the store fails one of them

Cause: an entry followed the operators' log through the store alone. One that the store did not serve stayed with the configuration of before the cut, for as long as it lasted, and could serve no customer with a newer key, although the other entries, which it reached, had the newer one. Class: a partial outage taken for a whole one; each process judged the store by its own calls.

Ruled out: the store's outages for all (jobs whose whole time lies within one cannot be stored; they are still refused), and the dispatcher, which accepted other jobs of the same entry during the cut.

Change: entries tell in their hellos how far they have read, how old that is, and whether the store serves them. An entry that has read less fetches the records from one that has read more; the offset of the log decides, so nothing goes back. An entry that the store fails asks three others each 300 ms. A forwarded call is refused at once for an outage only if no other entry is served either. Fresh entries learn the configuration from others before the store answers them. The routes to the dispatcher move to a class of their own.

Why it works: in a partial outage some entry is served, and its knowledge reaches the others within one round of hellos.

--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatcherRoutes.java
@@ -0,0 +1,92 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import org.fescueloom.daemon.http.HttpCall;
+import org.fescueloom.daemon.http.HttpReply;
+import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.work.JobView;
+import org.fescueloom.work.Submission;
+
+/** Takes the calls of entries and agents for the dispatcher, and says so if there is none here. */
+final class DispatcherRoutes {
+    private final Supplier<Dispatcher> dispatcher;
+    private final Executor loop;
+
+    /**
+     * Creates the routes.
+     *
+     * @param dispatcher gives the dispatcher of this process, or null while it has none
+     * @param loop the thread of the dispatcher
+     */
+    DispatcherRoutes(Supplier<Dispatcher> dispatcher, Executor loop) {
+        this.dispatcher = dispatcher;
+        this.loop = loop;
+    }
+
+    void routes(HttpServer server) {
+        server.route("POST", "/agent/report", this::report);
+        server.route("POST", "/jobs/{id}", this::submit);
+        server.route("GET", "/jobs/{id}", this::view);
+        server.route("DELETE", "/jobs/{id}", this::cancel);
+        server.route("GET", "/queues/{queue}/pending", this::pending);
+    }
+
+    private CompletableFuture<HttpReply> submit(HttpCall call) {
+        Submission submission = call.read(Submission.class);
+        long wait = call.queryLong("wait", JobForwarder.PATIENCE_MILLIS);
+        return here(
+                d ->
+                        d.submit(submission, wait)
+                                .thenApply(
+                                        v ->
+                                                HttpReply.json(
+                                                        new JobForwarder.ViewAnswer(
+                                                                JobView.QUEUED))));
+    }
+
+    private CompletableFuture<HttpReply> view(HttpCall call) {
+        String id = call.path("id");
+        return here(d -> done(new JobForwarder.ViewAnswer(d.view(id))));
+    }
+
+    private CompletableFuture<HttpReply> cancel(HttpCall call) {
+        String id = call.path("id");
+        return here(
+                d -> d.cancel(id).thenApply(k -> HttpReply.json(new JobForwarder.CancelAnswer(k))));
+    }
+
+    private CompletableFuture<HttpReply> pending(HttpCall call) {
+        String queue = call.path("queue");
+        return here(d -> done(new JobForwarder.PendingAnswer(d.pending(queue))));
+    }
+
+    private CompletableFuture<HttpReply> report(HttpCall call) {
+        AgentReport report = call.read(AgentReport.class);
+        return here(d -> d.report(report).thenApply(HttpReply::json));
+    }
+
+    /** Uses the dispatcher on its thread. */
+    private interface DispatcherCall {
+        /** Starts the call. */
+        CompletableFuture<HttpReply> apply(Dispatcher dispatcher);
+    }
+
+    private CompletableFuture<HttpReply> here(DispatcherCall call) {
+        return CompletableFuture.supplyAsync(
+                        () -> {
+                            Dispatcher mine = dispatcher.get();
+                            return mine == null
+                                    ? CompletableFuture.<HttpReply>failedFuture(
+                                            Dispatcher.notDispatcher())
+                                    : call.apply(mine);
+                        },
+                        loop)
+                .thenCompose(reply -> reply);
+    }
+
+    private static CompletableFuture<HttpReply> done(Object body) {
+        return CompletableFuture.completedFuture(HttpReply.json(body));
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.fescueloom.daemon.http.HttpCall;
 import org.fescueloom.daemon.http.HttpClient;
@@ -20,8 +19,6 @@
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.Failures;
 import org.fescueloom.json.Json;
-import org.fescueloom.work.JobView;
-import org.fescueloom.work.Submission;
 
 /**
  * Takes part in the election of the dispatcher and passes calls to it.
@@ -65,7 +62,8 @@
     private final KeyedLog log;
     private final DispatchTerms terms;
     private final ScheduledExecutorService loop;
-    private final Supplier<FleetView> fleet;
+    private final FleetFollower follower;
+    private final FleetExchange fleetExchange;
     private final Metrics metrics;
     private final HttpClient http = new HttpClient(MAX_CALLS, CONNECT_TIMEOUT);
     private final JobForwarder forwarder;
@@ -91,8 +89,7 @@
      * @param log the log service, not null
      * @param terms the times of dispatching, not null
      * @param loop the one thread of the entry, not null
-     * @param fleet gives what operators have set, not null
-     * @param logDown tells whether the log service fails this entry now, not null
+     * @param follower gives what operators have set, not null
      * @param metrics counts calls and retries, not null
      */
     public EntryNode(
@@ -101,16 +98,17 @@
             KeyedLog log,
             DispatchTerms terms,
             ScheduledExecutorService loop,
-            Supplier<FleetView> fleet,
-            BooleanSupplier logDown,
+            FleetFollower follower,
             Metrics metrics) {
         this.address = address;
         this.log = log;
         this.terms = terms;
         this.loop = loop;
-        this.fleet = fleet;
+        this.follower = follower;
         this.metrics = metrics;
-        forwarder = new JobForwarder(http, () -> leader, logDown, loop, metrics);
+        fleetExchange = new FleetExchange(follower, http, this::sayHello, loop);
+        forwarder =
+                new JobForwarder(http, () -> leader, fleetExchange::logServesNobody, loop, metrics);
         entries.addAll(seeds);
         entries.add(address);
     }
@@ -122,12 +120,9 @@
      */
     public void routes(HttpServer server) {
         server.route("POST", "/peer/hello", call -> onLoop(() -> answerHello(call)));
-        server.route("POST", "/agent/report", this::report);
-        server.route("GET", "/agent/dispatcher", call -> onLoop(() -> done(myHello())));
-        server.route("POST", "/jobs/{id}", this::takeSubmit);
-        server.route("GET", "/jobs/{id}", this::takeView);
-        server.route("DELETE", "/jobs/{id}", this::takeCancel);
-        server.route("GET", "/queues/{queue}/pending", this::takePending);
+        server.route("GET", "/peer/fleet", call -> onLoop(follower::copy));
+        server.route("GET", "/agent/dispatcher", call -> onLoop(this::myHello));
+        new DispatcherRoutes(() -> dispatcher, loop).routes(server);
     }
 
     /** Starts to take part. */
@@ -181,7 +176,7 @@
      * @return whether the configuration was read and the dispatcher was heard of lately
      */
     public boolean ready() {
-        return !leaving && fleet.get().configuration() != null && !leader.isEmpty();
+        return !leaving && follower.view().configuration() != null && !leader.isEmpty();
     }
 
     /**
@@ -193,68 +188,13 @@
         return forwarder;
     }
 
-    private CompletableFuture<HttpReply> takeSubmit(HttpCall call) {
-        Submission submission = call.read(Submission.class);
-        long wait = call.queryLong("wait", JobForwarder.PATIENCE_MILLIS);
-        return here(
-                d ->
-                        d.submit(submission, wait)
-                                .thenApply(
-                                        v ->
-                                                HttpReply.json(
-                                                        new JobForwarder.ViewAnswer(
-                                                                JobView.QUEUED))));
+    private CompletableFuture<HttpReply> onLoop(Supplier<Object> work) {
+        return CompletableFuture.supplyAsync(() -> HttpReply.json(work.get()), loop);
     }
 
-    private CompletableFuture<HttpReply> takeView(HttpCall call) {
-        String id = call.path("id");
-        return here(d -> done(new JobForwarder.ViewAnswer(d.view(id))));
-    }
-
-    private CompletableFuture<HttpReply> takeCancel(HttpCall call) {
-        String id = call.path("id");
-        return here(
-                d -> d.cancel(id).thenApply(k -> HttpReply.json(new JobForwarder.CancelAnswer(k))));
-    }
-
-    private CompletableFuture<HttpReply> takePending(HttpCall call) {
-        String queue = call.path("queue");
-        return here(d -> done(new JobForwarder.PendingAnswer(d.pending(queue))));
-    }
-
-    private CompletableFuture<HttpReply> report(HttpCall call) {
-        AgentReport report = call.read(AgentReport.class);
-        return here(d -> d.report(report).thenApply(HttpReply::json));
-    }
-
-    /** Does something with the dispatcher of this process. */
-    private CompletableFuture<HttpReply> here(DispatcherCall call) {
-        return onLoop(
-                () -> {
-                    if (dispatcher == null) {
-                        return CompletableFuture.failedFuture(Dispatcher.notDispatcher());
-                    }
-                    return call.apply(dispatcher);
-                });
-    }
-
-    /** Uses the dispatcher on its thread. */
-    private interface DispatcherCall {
-        /** Starts the call. */
-        CompletableFuture<HttpReply> apply(Dispatcher dispatcher);
-    }
-
-    private CompletableFuture<HttpReply> onLoop(Supplier<CompletableFuture<HttpReply>> work) {
-        return CompletableFuture.supplyAsync(work, loop).thenCompose(f -> f);
-    }
-
-    private static CompletableFuture<HttpReply> done(Object body) {
-        return CompletableFuture.completedFuture(HttpReply.json(body));
-    }
-
-    private CompletableFuture<HttpReply> answerHello(HttpCall call) {
+    private PeerHello answerHello(HttpCall call) {
         learn(call.read(PeerHello.class));
-        return done(myHello());
+        return myHello();
     }
 
     private PeerHello myHello() {
@@ -265,11 +205,15 @@
                 mine != null ? address : leader,
                 mine != null ? 0 : now() - leaderHeardMillis,
                 mine != null ? mine.storeFailingMillis() : 0,
+                follower.view().offset(),
+                follower.current() ? follower.ageMillis() : PeerHello.NEVER_MILLIS,
+                !follower.failing(),
                 leaving,
                 List.copyOf(entries));
     }
 
     private void learn(PeerHello hello) {
+        fleetExchange.heard(hello);
         entries.add(hello.address());
         entries.addAll(hello.entries());
         if (hello.epoch() > epoch) {
@@ -303,6 +247,7 @@
     }
 
     private CompletableFuture<PeerHello> sayHello(String peer) {
+        StoreContact.Moment sent = follower.now();
         return http.send(
                         HttpClient.request("POST", peer, "/peer/hello", myHello()).build(),
                         HELLO_TIMEOUT)
@@ -311,6 +256,7 @@
                         (hello, error) -> {
                             if (error == null) {
                                 learn(hello);
+                                fleetExchange.answered(hello, sent);
                             }
                         },
                         loop);
@@ -318,6 +264,7 @@
 
     private void tick() {
         try {
+            fleetExchange.tick(leader, others());
             if (dispatcher == null && !leaving) {
                 follow();
             }
@@ -334,7 +281,7 @@
         if (now - leaderHeardMillis < SUSPECT_MILLIS && !leader.isEmpty()) {
             return;
         }
-        if (claiming || fleet.get().configuration() == null) {
+        if (claiming || follower.view().configuration() == null) {
             return;
         }
         if (suspectedMillis < 0) {
@@ -438,7 +385,7 @@
                         log,
                         loop,
                         StoreContact.onSystemClocks(),
-                        fleet,
+                        follower::view,
                         () -> List.copyOf(entries),
                         metrics,
                         () -> stepDown("replaced"));
@@ -447,7 +394,7 @@
         EventLog.event("dispatching")
                 .field("epoch", epoch)
                 .field("jobs", start.content().jobs().size())
-                .field("config", fleet.get().version())
+                .field("config", follower.view().version())
                 .info();
         dispatcher.start();
         others().forEach(this::sayHello);
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetExchange.java
@@ -0,0 +1,123 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.fescueloom.daemon.http.HttpClient;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.failure.Failures;
+
+/**
+ * Keeps an entry up to date through other entries while the log service fails it.
+ *
+ * <p>The log service may serve some entries and fail others. Entries tell each other how far they
+ * have read the log of the operators; one that has read less takes the records of one that has read
+ * more. Confined to the thread of its owner, but for the questions that callers' threads ask.
+ */
+final class FleetExchange {
+    private static final Duration FETCH_TIMEOUT = Duration.ofMillis(800);
+
+    /** How often other entries are asked while the log service fails this one. */
+    private static final long ASK_MILLIS = 300;
+
+    /** A healthy follower hears from the log service each second. */
+    private static final long STALE_MILLIS = 1_200;
+
+    /** How many entries are asked at a time, whatever their number. */
+    private static final int MAX_ASKED = 3;
+
+    /** How long the word of another entry counts that the log service serves it. */
+    private static final long SERVED_MILLIS = 1_000;
+
+    private final FleetFollower follower;
+    private final HttpClient http;
+    private final Consumer<String> ask;
+    private final Executor loop;
+    private long askedMillis = Long.MIN_VALUE / 2;
+    private boolean fetching;
+    private volatile long servedMillis = Long.MIN_VALUE / 2;
+
+    /**
+     * Creates an exchange.
+     *
+     * @param follower follows the log of the operators
+     * @param http fetches records
+     * @param ask says hello to an entry, whose answer is to be handed to {@link #answered}
+     * @param loop the thread of the owner
+     */
+    FleetExchange(FleetFollower follower, HttpClient http, Consumer<String> ask, Executor loop) {
+        this.follower = follower;
+        this.http = http;
+        this.ask = ask;
+        this.loop = loop;
+    }
+
+    /** Asks other entries, if the log service has failed this one for a while. */
+    void tick(String leader, List<String> others) {
+        long now = now();
+        boolean stale = follower.failing() || follower.ageMillis() > STALE_MILLIS;
+        if (!stale || others.isEmpty()) {
+            return;
+        }
+        if (now - askedMillis >= ASK_MILLIS) {
+            askedMillis = now;
+            chosen(leader, others).forEach(ask);
+        }
+    }
+
+    private static List<String> chosen(String leader, List<String> others) {
+        List<String> chosen = new ArrayList<>(others);
+        Collections.shuffle(chosen);
+        if (chosen.remove(leader)) {
+            chosen.add(0, leader);
+        }
+        return chosen.subList(0, Math.min(MAX_ASKED, chosen.size()));
+    }
+
+    /** Takes note of what another entry said of itself. */
+    void heard(PeerHello hello) {
+        if (hello.fleetOffset() > follower.view().offset() && !fetching) {
+            fetch(hello.address());
+        }
+    }
+
+    /** Takes note of the answer to a hello that was sent at a moment. */
+    void answered(PeerHello hello, StoreContact.Moment sent) {
+        if (hello.logServes()) {
+            servedMillis = now();
+        }
+        follower.confirm(hello.fleetOffset(), sent.plus(-hello.fleetAgeMillis()));
+    }
+
+    /** Tells whether the log service fails this entry and all others that have answered lately. */
+    boolean logServesNobody() {
+        return follower.failing() && now() - servedMillis > SERVED_MILLIS;
+    }
+
+    private void fetch(String peer) {
+        fetching = true;
+        http.send(HttpClient.request("GET", peer, "/peer/fleet", null).build(), FETCH_TIMEOUT)
+                .thenApply(answer -> answer.read(FleetCopy.class))
+                .whenCompleteAsync(
+                        (copy, error) -> {
+                            fetching = false;
+                            if (error == null) {
+                                follower.adopt(copy, peer);
+                            } else {
+                                EventLog.event("fleet-fetch-failed")
+                                        .field("from", peer)
+                                        .field("offset", follower.view().offset())
+                                        .error(Failures.causeOf(error))
+                                        .warn();
+                            }
+                        },
+                        loop);
+    }
+
+    private long now() {
+        return follower.now().steadyMillis();
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -20,11 +22,17 @@
  * Follows what operators set, and never goes back to an older configuration.
  *
  * <p>Reads the newest records, then waits for further ones. Starts again with the newest records
- * when the log no longer holds those that follow.
+ * when the log no longer holds those that follow. While the log service fails this process, it
+ * takes what another process has read, if that is newer.
  */
 public final class FleetFollower implements FleetKnowledge {
     /** How long one read waits; short enough to notice a silent connection within seconds. */
-    private static final Duration WAIT = Duration.ofMillis(2_000);
+    private static final Duration WAIT = Duration.ofMillis(1_000);
+
+    /**
+     * One read that waits and the way of its answer; changes are in force everywhere within 2 s.
+     */
+    private static final long CURRENT_MILLIS = 1_500;
 
     private static final long FIRST_RETRY_MILLIS = 50;
     private static final long MAX_RETRY_MILLIS = 500;
@@ -35,7 +43,9 @@
     private final ScheduledExecutorService loop;
     private final Metrics metrics;
     private final Backoff backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, new Random());
+    private final Map<String, KeyedRecord> newest = new LinkedHashMap<>();
     private volatile FleetView view = FleetView.EMPTY;
+    private volatile FleetCopy copy = FleetCopy.EMPTY;
     private final StoreContact contact;
     private volatile boolean failing;
     private volatile boolean closed;
@@ -77,6 +87,11 @@
         return contact.ageMillis();
     }
 
+    @Override
+    public boolean current() {
+        return contact.freshWithin(CURRENT_MILLIS);
+    }
+
     /**
      * Tells whether the log service fails this process now.
      *
@@ -96,24 +111,71 @@
         closed = true;
     }
 
+    /** Returns what another process may take from this one. */
+    FleetCopy copy() {
+        return copy;
+    }
+
+    /** Takes what another process has read, unless more is known here. */
+    void adopt(FleetCopy other, String from) {
+        loop.execute(
+                () -> {
+                    if (other.offset() > view.offset()) {
+                        replaceAll(other);
+                        metrics.count("fleet.adopted");
+                        EventLog.event("fleet-adopted")
+                                .field("from", from)
+                                .field("config", view.version())
+                                .field("offset", view.offset())
+                                .info();
+                    }
+                });
+    }
+
+    /**
+     * Notes that another process knew nothing newer than an offset.
+     *
+     * @param offset where the log ended for the other process
+     * @param asOf when that was so
+     */
+    void confirm(long offset, StoreContact.Moment asOf) {
+        loop.execute(
+                () -> {
+                    if (offset <= view.offset() && view.configuration() != null) {
+                        contact.confirm(asOf);
+                    }
+                });
+    }
+
+    /** Returns the present moment, for {@link #confirm}. */
+    StoreContact.Moment now() {
+        return contact.now();
+    }
+
     private void readNewest() {
+        if (closed) {
+            return;
+        }
         settled = false;
         StoreContact.Moment sent = contact.now();
         readPages("", new ArrayList<>(), -1)
                 .whenCompleteAsync(
-                        (snapshot, error) -> {
+                        (read, error) -> {
                             if (error != null) {
                                 retry(this::readNewest, error);
+                            } else if (read.offset() < view.offset()) {
+                                // An answer from before what is known here.
+                                retryLater(this::readNewest);
                             } else {
                                 regained(sent);
-                                replaceAll(snapshot);
+                                replaceAll(read);
                                 readOn();
                             }
                         },
                         loop);
     }
 
-    private CompletableFuture<Snapshot> readPages(
+    private CompletableFuture<FleetCopy> readPages(
             String afterKey, List<KeyedRecord> records, long firstEnd) {
         return log.newest(topic, afterKey)
                 .thenCompose(
@@ -123,15 +185,13 @@
                             long end = firstEnd < 0 ? page.endOffset() : firstEnd;
                             if (!page.more() || page.records().isEmpty()) {
                                 return CompletableFuture.completedFuture(
-                                        new Snapshot(records, end));
+                                        new FleetCopy(end, records));
                             }
                             List<KeyedRecord> last = page.records();
                             return readPages(last.get(last.size() - 1).key(), records, end);
                         });
     }
 
-    private record Snapshot(List<KeyedRecord> records, long endOffset) {}
-
     private void readOn() {
         if (closed) {
             return;
@@ -139,8 +199,9 @@
         // Only a read that found nothing new is followed by one that waits: the first answer after
         // a failure comes at once.
         Duration wait = settled ? WAIT : Duration.ZERO;
+        long from = view.offset();
         StoreContact.Moment sent = contact.now();
-        log.read(topic, view.offset(), wait)
+        log.read(topic, from, wait)
                 .whenCompleteAsync(
                         (slice, error) -> {
                             if (error != null) {
@@ -150,14 +211,20 @@
                                 readNewest();
                             } else {
                                 settled = slice.records().isEmpty();
-                                regained(sent);
-                                apply(slice.records());
+                                regained(settled ? endOfWait(sent, wait) : sent);
+                                apply(from, slice.records());
                                 readOn();
                             }
                         },
                         loop);
     }
 
+    /** Returns until when a read that waited has surely found nothing. */
+    private StoreContact.Moment endOfWait(StoreContact.Moment sent, Duration wait) {
+        long elapsed = contact.now().steadyMillis() - sent.steadyMillis();
+        return sent.plus(Math.min(wait.toMillis(), elapsed));
+    }
+
     private void retry(Runnable step, Throwable error) {
         metrics.countRetry(Failures.typeOf(error));
         if (!failing) {
@@ -170,6 +237,10 @@
                     .error(Failures.causeOf(error))
                     .warn();
         }
+        retryLater(step);
+    }
+
+    private void retryLater(Runnable step) {
         loop.schedule(step, backoff.nextMillis(), TimeUnit.MILLISECONDS);
     }
 
@@ -187,32 +258,38 @@
         }
     }
 
-    private void replaceAll(Snapshot snapshot) {
-        FleetConfiguration newest = view.configuration();
+    private void replaceAll(FleetCopy read) {
+        newest.clear();
+        FleetConfiguration configuration = view.configuration();
         Set<String> out = new HashSet<>();
-        for (KeyedRecord item : snapshot.records()) {
-            newest = newer(newest, decoder.configuration(item));
+        for (KeyedRecord item : read.records()) {
+            newest.put(item.key(), item);
+            configuration = newer(configuration, decoder.configuration(item));
             decoder.zone(item.key()).ifPresent(out::add);
         }
-        publish(new FleetView(newest, out, snapshot.endOffset()));
+        publish(new FleetView(configuration, out, read.offset()));
     }
 
-    private void apply(List<KeyedRecord> records) {
-        if (records.isEmpty()) {
+    /** Applies records that begin at an offset, but those that were taken from another process. */
+    private void apply(long from, List<KeyedRecord> records) {
+        int known = (int) Math.min(records.size(), view.offset() - from);
+        if (known == records.size()) {
             return;
         }
-        FleetConfiguration newest = view.configuration();
+        FleetConfiguration configuration = view.configuration();
         Set<String> out = new HashSet<>(view.zonesOut());
-        for (KeyedRecord item : records) {
-            newest = newer(newest, decoder.configuration(item));
+        for (KeyedRecord item : records.subList(known, records.size())) {
+            configuration = newer(configuration, decoder.configuration(item));
             Optional<String> zone = decoder.zone(item.key());
-            if (zone.isPresent() && item.value().length > 0) {
-                out.add(zone.get());
-            } else {
+            if (item.value().length == 0) {
+                newest.remove(item.key());
                 zone.ifPresent(out::remove);
+            } else {
+                newest.put(item.key(), item);
+                zone.ifPresent(out::add);
             }
         }
-        publish(new FleetView(newest, out, view.offset() + records.size()));
+        publish(new FleetView(configuration, out, from + records.size()));
     }
 
     private static FleetConfiguration newer(
@@ -226,6 +303,7 @@
         boolean changed =
                 newer.version() != view.version() || !newer.zonesOut().equals(view.zonesOut());
         view = newer;
+        copy = new FleetCopy(newer.offset(), List.copyOf(newest.values()));
         if (changed) {
             EventLog.event("fleet-changed")
                     .field("config", newer.version())
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetKnowledge.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetKnowledge.java
@@ -15,4 +15,12 @@
      * @return the time in milliseconds; very large if it never was
      */
     long ageMillis();
+
+    /**
+     * Tells whether the view was the newest a moment ago, so that what it does not hold does not
+     * exist.
+     *
+     * @return whether it is current; false after a suspension until the log has been read again
+     */
+    boolean current();
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StoreContact.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StoreContact.java
@@ -7,15 +7,14 @@
  *
  * <p>The steady clock of a suspended machine stands still. The date does not, so a contact counts
  * as fresh only while both clocks have advanced alike. A step of the date makes a contact look
- * stale, which costs one more question to the log service.
+ * stale, which costs one more question to the log service. One thread confirms; any may ask.
  */
 final class StoreContact {
     private static final long MAX_DIFFERENCE_MILLIS = 250;
 
     private final MillisClock steady;
     private final MillisClock date;
-    private long steadyMillis;
-    private long dateMillis;
+    private volatile Moment confirmed = new Moment(Long.MIN_VALUE / 2, 0);
 
     /** Reads a clock in milliseconds. */
     interface MillisClock {
@@ -24,12 +23,16 @@
     }
 
     /** Holds the readings of both clocks at one moment. */
-    record Moment(long steadyMillis, long dateMillis) {}
+    record Moment(long steadyMillis, long dateMillis) {
+        /** Returns the moment that comes a time after this one, or before it if negative. */
+        Moment plus(long millis) {
+            return new Moment(steadyMillis + millis, dateMillis + millis);
+        }
+    }
 
     StoreContact(MillisClock steady, MillisClock date) {
         this.steady = steady;
         this.date = date;
-        this.steadyMillis = Long.MIN_VALUE / 2;
     }
 
     /** Creates one on the clocks of the process. */
@@ -44,26 +47,26 @@
 
     /** Notes that the log service answered a call that was sent at a moment. */
     void confirm(Moment sent) {
-        if (sent.steadyMillis() > steadyMillis) {
-            steadyMillis = sent.steadyMillis();
-            dateMillis = sent.dateMillis();
+        if (sent.steadyMillis() > confirmed.steadyMillis()) {
+            confirmed = sent;
         }
     }
 
     /** Tells whether no call that was sent after a moment has been answered. */
     boolean confirmedBefore(Moment sent) {
-        return steadyMillis < sent.steadyMillis();
+        return confirmed.steadyMillis() < sent.steadyMillis();
     }
 
     /** Returns how long ago the confirmed call was sent, in milliseconds. */
     long ageMillis() {
-        return steady.millis() - steadyMillis;
+        return steady.millis() - confirmed.steadyMillis();
     }
 
     /** Tells whether the confirmed call was sent within a time and no suspension has come since. */
     boolean freshWithin(long millis) {
-        long elapsed = ageMillis();
-        long elapsedByDate = date.millis() - dateMillis;
+        Moment last = confirmed;
+        long elapsed = steady.millis() - last.steadyMillis();
+        long elapsedByDate = date.millis() - last.dateMillis();
         return elapsed < millis && Math.abs(elapsedByDate - elapsed) < MAX_DIFFERENCE_MILLIS;
     }
 }
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryLog.java
@@ -0,0 +1,65 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
+
+/**
+ * Is the way of one entry to a log that several share: it can be closed for this entry alone, and
+ * reads that wait are answered late, as the log service does.
+ */
+final class EntryLog implements KeyedLog {
+    private static final long POLL_MILLIS = 20;
+
+    private final KeyedLog log;
+    private volatile boolean closed;
+
+    EntryLog(KeyedLog log) {
+        this.log = log;
+    }
+
+    /** Refuses all calls of this entry from now on, or none. */
+    void close(boolean all) {
+        closed = all;
+    }
+
+    @Override
+    public CompletableFuture<AppendOutcome> append(
+            String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+        return unlessClosed(() -> log.append(topic, records, expectedEnd, timeout));
+    }
+
+    @Override
+    public CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
+        return unlessClosed(() -> log.newest(topic, afterKey));
+    }
+
+    @Override
+    public CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait) {
+        return unlessClosed(() -> log.read(topic, from, Duration.ZERO))
+                .thenCompose(
+                        slice -> {
+                            if (wait.toMillis() <= 0 || !slice.records().isEmpty()) {
+                                return CompletableFuture.completedFuture(slice);
+                            }
+                            return later(() -> read(topic, from, wait.minusMillis(POLL_MILLIS)));
+                        });
+    }
+
+    private <T> CompletableFuture<T> unlessClosed(Supplier<CompletableFuture<T>> call) {
+        return closed
+                ? CompletableFuture.failedFuture(
+                        new SchedulerException(FailureType.LOG_UNAVAILABLE, "closed by the test"))
+                : call.get();
+    }
+
+    private static <T> CompletableFuture<T> later(Supplier<CompletableFuture<T>> call) {
+        Executor delayed = CompletableFuture.delayedExecutor(POLL_MILLIS, TimeUnit.MILLISECONDS);
+        return CompletableFuture.supplyAsync(call, delayed).thenCompose(started -> started);
+    }
+}
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -3,9 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -23,22 +24,44 @@
 class EntryNodeTest {
     private static final long WAIT_SECONDS = 30;
     private static final DispatchTerms TERMS = new DispatchTerms(7_000, 6_000, 1_800, 60_000);
-    private static final FleetView FLEET =
-            new FleetView(
-                    new FleetConfiguration(
-                            1,
-                            List.of(new QueuePolicy("q", "h", "/", "s", 0, 1, 2, 0, true, false)),
-                            List.of()),
-                    Set.of(),
-                    0);
+    private static final String OPERATORS = "keyed.op";
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
     private final List<Entry> entries = new ArrayList<>();
 
+    /** Reads one configuration with one queue, whatever was written. */
+    private static final class OneQueue implements OperatorDecoder {
+        @Override
+        public Optional<FleetConfiguration> configuration(KeyedRecord item) {
+            return Optional.of(
+                    new FleetConfiguration(
+                            item.value().length,
+                            List.of(new QueuePolicy("q", "h", "/", "s", 0, 1, 2, 0, true, false)),
+                            List.of()));
+        }
+
+        @Override
+        public Optional<String> zone(String key) {
+            return Optional.empty();
+        }
+    }
+
+    /** Stores a configuration. */
+    private void configure(int version) {
+        log.append(
+                OPERATORS,
+                List.of(new KeyedRecord("config", new byte[version])),
+                KeyedLog.ANY_END,
+                Duration.ZERO);
+    }
+
     /** Runs one entry on the loopback address. */
     private final class Entry {
         private final HttpServer server;
         private final ScheduledExecutorService loop = Timers.singleThread("entry");
+        private final ScheduledExecutorService followerLoop = Timers.singleThread("follower");
+        private final EntryLog ownLog = new EntryLog(log);
+        private FleetFollower follower;
         private EntryNode node;
 
         Entry(int port) {
@@ -46,17 +69,11 @@
         }
 
         void start(String address, List<String> seeds) {
-            node =
-                    new EntryNode(
-                            address,
-                            seeds,
-                            log,
-                            TERMS,
-                            loop,
-                            () -> FLEET,
-                            () -> false,
-                            new Metrics());
+            Metrics metrics = new Metrics();
+            follower = new FleetFollower(ownLog, OPERATORS, new OneQueue(), followerLoop, metrics);
+            node = new EntryNode(address, seeds, ownLog, TERMS, loop, follower, metrics);
             node.routes(server);
+            follower.start();
             server.start();
             node.start();
         }
@@ -64,12 +81,15 @@
         void kill() {
             server.close();
             node.close();
+            follower.close();
             loop.shutdownNow();
+            followerLoop.shutdownNow();
         }
     }
 
     @BeforeEach
     void startThree() throws Exception {
+        configure(1);
         List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             try (ServerSocket socket = new ServerSocket(0)) {
@@ -158,6 +178,30 @@
         }
     }
 
+    @Nested
+    class WithoutTheLog {
+        /** Guards against incident 18: an entry without the log kept its old configuration. */
+        @Test
+        void takesTheConfigurationOfOthers() throws InterruptedException {
+            dispatcher();
+            await(() -> entries.stream().allMatch(e -> e.node.ready()));
+            for (int i = 0; i < 3; i++) {
+                Entry entry = entries.get(i);
+                entry.ownLog.close(true);
+                await(entry.follower::failing);
+                int version = 2 + i;
+                configure(version);
+
+                await(() -> entry.follower.view().version() == version);
+                await(entry.follower::current);
+                assertThat(entry.follower.failing()).isTrue();
+                assertThat(entry.node.ready()).isTrue();
+                entry.ownLog.close(false);
+                await(() -> !entry.follower.failing());
+            }
+        }
+    }
+
     @Nested
     class Shutdown {
         @Test
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetFollowerTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetFollowerTest.java
@@ -22,64 +22,46 @@
     private static final long WAIT_SECONDS = 10;
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
+    private final EntryLog way = new EntryLog(log);
     private final ScheduledExecutorService loop = Timers.singleThread("follower");
-    private final FleetFollower follower =
-            new FleetFollower(new LongPoll(), TOPIC, new Versions(), loop, new Metrics());
+    private final FleetFollower follower = follower(way);
 
-    /** Answers reads that wait only once there are records, as the log service does. */
-    private final class LongPoll implements KeyedLog {
-        @Override
-        public CompletableFuture<AppendOutcome> append(
-                String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
-            return log.append(topic, records, expectedEnd, timeout);
-        }
-
-        @Override
-        public CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
-            return log.newest(topic, afterKey);
-        }
-
-        @Override
-        public CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait) {
-            return log.read(topic, from, wait)
-                    .thenCompose(
-                            slice ->
-                                    wait.isZero() || !slice.records().isEmpty()
-                                            ? CompletableFuture.completedFuture(slice)
-                                            : later(() -> log.read(topic, from, wait), wait));
-        }
+    private FleetFollower follower(KeyedLog keyedLog) {
+        return new FleetFollower(keyedLog, TOPIC, new Versions(), loop, new Metrics());
     }
 
     /** Reads the version of a configuration from the text of its record. */
     private static final class Versions implements OperatorDecoder {
         @Override
         public Optional<FleetConfiguration> configuration(KeyedRecord item) {
+            if (!item.key().equals("config")) {
+                return Optional.empty();
+            }
             long version = Long.parseLong(new String(item.value(), StandardCharsets.UTF_8));
             return Optional.of(new FleetConfiguration(version, List.of(), List.of()));
         }
 
         @Override
         public Optional<String> zone(String key) {
-            return Optional.empty();
+            return key.startsWith("out/")
+                    ? Optional.of(key.substring("out/".length()))
+                    : Optional.empty();
         }
     }
 
-    private interface Read {
-        CompletableFuture<KeyedSlice> start();
+    private void configure(long version) {
+        store("config", Long.toString(version));
     }
 
-    private CompletableFuture<KeyedSlice> later(Read read, Duration wait) {
-        return CompletableFuture.supplyAsync(
-                        () -> null,
-                        CompletableFuture.delayedExecutor(
-                                wait.toMillis(), TimeUnit.MILLISECONDS, loop))
-                .thenCompose(none -> read.start());
+    private void store(String key, String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        log.append(TOPIC, List.of(new KeyedRecord(key, bytes)), KeyedLog.ANY_END, Duration.ZERO);
     }
 
-    private void configure(long version) {
-        byte[] value = Long.toString(version).getBytes(StandardCharsets.UTF_8);
-        log.append(
-                TOPIC, List.of(new KeyedRecord("config", value)), KeyedLog.ANY_END, Duration.ZERO);
+    private void startAt(long version) throws InterruptedException {
+        configure(version);
+        follower.start();
+        await(() -> follower.view().version() == version, WAIT_SECONDS);
     }
 
     private static void await(BooleanSupplier condition, long seconds) throws InterruptedException {
@@ -101,13 +83,11 @@
         /** Guards against incident 18: calls were refused for seconds after the log was back. */
         @Test
         void ofTheLogIsNoticedWithoutWaitingForNews() throws InterruptedException {
-            configure(1);
-            follower.start();
-            await(() -> follower.view().version() == 1, WAIT_SECONDS);
-            log.onRead(MemoryKeyedLog.Fault.REFUSED);
+            startAt(1);
+            way.close(true);
             await(follower::failing, WAIT_SECONDS);
 
-            log.onRead(MemoryKeyedLog.Fault.NONE);
+            way.close(false);
             long back = System.nanoTime();
             await(() -> !follower.failing(), WAIT_SECONDS);
 
@@ -115,4 +95,92 @@
             assertThat(System.nanoTime() - back).isLessThan(TimeUnit.SECONDS.toNanos(1));
         }
     }
+
+    @Nested
+    class Adoption {
+        private FleetCopy copyOfAnother() throws InterruptedException {
+            FleetFollower other = follower(log);
+            other.start();
+            await(() -> other.copy().offset() == log.records(TOPIC).size(), WAIT_SECONDS);
+            other.close();
+            return other.copy();
+        }
+
+        @Test
+        void takesZonesAndConfigurationAndGoesOnBehindThem() throws InterruptedException {
+            startAt(1);
+            way.close(true);
+            configure(2);
+            store("out/z", "x");
+
+            follower.adopt(copyOfAnother(), "other");
+            await(() -> follower.view().version() == 2, WAIT_SECONDS);
+            assertThat(follower.view().zonesOut()).containsExactly("z");
+
+            store("out/z", "");
+            configure(3);
+            way.close(false);
+            await(() -> follower.view().version() == 3, WAIT_SECONDS);
+            assertThat(follower.view().zonesOut()).isEmpty();
+            assertThat(follower.view().offset()).isEqualTo(log.records(TOPIC).size());
+        }
+
+        @Test
+        void doesNotGoBack() throws InterruptedException {
+            startAt(1);
+            FleetCopy old = copyOfAnother();
+            configure(2);
+            await(() -> follower.view().version() == 2, WAIT_SECONDS);
+
+            follower.adopt(old, "other");
+            configure(3);
+
+            await(() -> follower.view().version() == 3, WAIT_SECONDS);
+            assertThat(follower.view().offset()).isEqualTo(3);
+        }
+
+        @Test
+        void helpsAProcessThatHasReadNothingYet() throws InterruptedException {
+            configure(5);
+            way.close(true);
+            follower.start();
+            await(follower::failing, WAIT_SECONDS);
+
+            follower.adopt(copyOfAnother(), "other");
+
+            await(() -> follower.view().version() == 5, WAIT_SECONDS);
+        }
+    }
+
+    @Nested
+    class Currency {
+        @Test
+        void lastsAsLongAsTheLogAnswers() throws InterruptedException {
+            assertThat(follower.current()).isFalse();
+            startAt(1);
+            await(follower::current, WAIT_SECONDS);
+
+            way.close(true);
+            await(() -> !follower.current(), WAIT_SECONDS);
+        }
+
+        @Test
+        void comesFromAnotherProcessThatKnowsNothingNewer() throws InterruptedException {
+            startAt(1);
+            way.close(true);
+            await(() -> !follower.current(), WAIT_SECONDS);
+
+            follower.confirm(2, follower.now());
+            loopIsDone();
+            assertThat(follower.current()).isFalse();
+
+            follower.confirm(1, follower.now());
+            loopIsDone();
+            assertThat(follower.current()).isTrue();
+        }
+
+        private void loopIsDone() {
+            CompletableFuture.runAsync(() -> {}, loop).join();
+        }
+    }
 }
