Send callers elsewhere from an entry that is cut off

What callers saw: at an entry that reached neither the store nor another entry, a submission took 2.75 s of the 3 s of its caller and ended in 504; later tries met the same entry.

An entry judged itself by whether it knew a dispatcher, not by whether anything answered it; it stayed ready, kept the connections of its callers, and looked for the dispatcher until their time was over.

A dispatcher that is cut off answers no calls for states either: another one may have accepted jobs since.

--- a/fescueloom-core/src/main/java/org/fescueloom/failure/FailureType.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/failure/FailureType.java
@@ -88,6 +88,8 @@
     NOT_SUPPORTED(503, Outcome.NOT_RUN),
     /** Another entry dispatches jobs now, or none does. */
     NOT_DISPATCHER(503, Outcome.NOT_RUN),
+    /** The process reaches neither the log service nor another entry. */
+    CUT_OFF(503, Outcome.NOT_RUN),
     /** No customer holds the key of the request. */
     UNKNOWN_KEY(401, Outcome.NOT_RUN),
     /** The process has read no configuration yet. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -107,8 +107,7 @@
         this.follower = follower;
         this.metrics = metrics;
         fleetExchange = new FleetExchange(follower, http, this::sayHello, loop);
-        forwarder =
-                new JobForwarder(http, () -> leader, fleetExchange::logServesNobody, loop, metrics);
+        forwarder = new JobForwarder(http, () -> leader, fleetExchange::reach, loop, metrics);
         entries.addAll(seeds);
         entries.add(address);
     }
@@ -173,10 +172,14 @@
     /**
      * Tells whether calls can be served.
      *
-     * @return whether the configuration was read and the dispatcher was heard of lately
+     * @return whether the configuration is known, the dispatcher was heard of, and the log service
+     *     or another entry has answered lately
      */
     public boolean ready() {
-        return !leaving && follower.view().configuration() != null && !leader.isEmpty();
+        return !leaving
+                && follower.view().configuration() != null
+                && !leader.isEmpty()
+                && fleetExchange.reach() != Reach.CUT_OFF;
     }
 
     /**
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetExchange.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetExchange.java
@@ -29,6 +29,9 @@
     /** How many entries are asked at a time, whatever their number. */
     private static final int MAX_ASKED = 3;
 
+    /** Without an answer of any entry to three rounds of questions this one counts as cut off. */
+    private static final long CUT_OFF_MILLIS = 1_000;
+
     /** How long the word of another entry counts that the log service serves it. */
     private static final long SERVED_MILLIS = 1_000;
 
@@ -38,6 +41,8 @@
     private final Executor loop;
     private long askedMillis = Long.MIN_VALUE / 2;
     private boolean fetching;
+    private volatile long askingSinceMillis = -1;
+    private volatile long answeredMillis = Long.MIN_VALUE / 2;
     private volatile long servedMillis = Long.MIN_VALUE / 2;
 
     /**
@@ -60,9 +65,11 @@
         long now = now();
         boolean stale = follower.failing() || follower.ageMillis() > STALE_MILLIS;
         if (!stale || others.isEmpty()) {
-            return;
-        }
-        if (now - askedMillis >= ASK_MILLIS) {
+            askingSinceMillis = -1;
+        } else if (now - askedMillis >= ASK_MILLIS) {
+            if (askingSinceMillis < 0) {
+                askingSinceMillis = now;
+            }
             askedMillis = now;
             chosen(leader, others).forEach(ask);
         }
@@ -86,15 +93,22 @@
 
     /** Takes note of the answer to a hello that was sent at a moment. */
     void answered(PeerHello hello, StoreContact.Moment sent) {
+        answeredMillis = now();
         if (hello.logServes()) {
-            servedMillis = now();
+            servedMillis = answeredMillis;
         }
         follower.confirm(hello.fleetOffset(), sent.plus(-hello.fleetAgeMillis()));
     }
 
-    /** Tells whether the log service fails this entry and all others that have answered lately. */
-    boolean logServesNobody() {
-        return follower.failing() && now() - servedMillis > SERVED_MILLIS;
+    /** Returns what this entry reaches, by the answers of the last second. */
+    Reach reach() {
+        long since = askingSinceMillis;
+        long now = now();
+        if (since >= 0 && now - Math.max(since, answeredMillis) > CUT_OFF_MILLIS) {
+            return Reach.CUT_OFF;
+        }
+        boolean servesNobody = follower.failing() && now - servedMillis > SERVED_MILLIS;
+        return servesNobody ? Reach.LOG_DOWN : Reach.SERVED;
     }
 
     private void fetch(String peer) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.fescueloom.daemon.cluster.Clocks;
 import org.fescueloom.daemon.http.HttpAnswer;
@@ -46,7 +45,7 @@
 
     private final HttpClient http;
     private final Supplier<String> dispatcher;
-    private final BooleanSupplier logDown;
+    private final Supplier<Reach> reach;
     private final ScheduledExecutorService loop;
     private final Metrics metrics;
 
@@ -55,20 +54,19 @@
      *
      * @param http sends the calls
      * @param dispatcher gives the address of the dispatcher; empty while there is none
-     * @param logDown tells whether the log service fails this entry as well, so that no other can
-     *     be expected to serve
+     * @param reach tells what this entry reaches; no dispatcher is looked for where none can be
      * @param loop runs the repeats
      * @param metrics counts the repeats
      */
     JobForwarder(
             HttpClient http,
             Supplier<String> dispatcher,
-            BooleanSupplier logDown,
+            Supplier<Reach> reach,
             ScheduledExecutorService loop,
             Metrics metrics) {
         this.http = http;
         this.dispatcher = dispatcher;
-        this.logDown = logDown;
+        this.reach = reach;
         this.loop = loop;
         this.metrics = metrics;
     }
@@ -140,6 +138,10 @@
         }
 
         void attempt() {
+            if (reach.get() == Reach.CUT_OFF) {
+                giveUp(cutOff());
+                return;
+            }
             String target = dispatcher.get();
             long left = deadline - Clocks.monotonicMillis();
             if (target.isEmpty() || left <= 0) {
@@ -175,11 +177,11 @@
             SchedulerException cause =
                     new SchedulerException(failure.error(), failure.detail(), RETRY_AFTER_MILLIS);
             boolean downForAll =
-                    failure.error() == FailureType.LOG_UNAVAILABLE && logDown.getAsBoolean();
+                    failure.error() == FailureType.LOG_UNAVAILABLE && reach.get() == Reach.LOG_DOWN;
             if (ANOTHER_MAY_SERVE.contains(failure.error()) && !downForAll) {
                 later(cause);
             } else {
-                result.completeExceptionally(maybeDone ? unknown(cause) : cause);
+                giveUp(cause);
             }
         }
 
@@ -190,16 +192,27 @@
                 metrics.countRetry(cause.type());
                 loop.schedule(this::attempt, FORWARD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             } else {
-                result.completeExceptionally(maybeDone ? unknown(cause) : cause);
+                giveUp(cause);
             }
         }
 
+        private void giveUp(SchedulerException cause) {
+            result.completeExceptionally(maybeDone ? unknown(cause) : cause);
+        }
+
         private SchedulerException unknown(SchedulerException cause) {
             return new SchedulerException(
                     FailureType.OUTCOME_UNKNOWN, "the dispatcher has not answered", 0L, cause);
         }
     }
 
+    private static SchedulerException cutOff() {
+        return new SchedulerException(
+                FailureType.CUT_OFF,
+                "neither the log service nor another entry answers",
+                RETRY_AFTER_MILLIS);
+    }
+
     private static FailureBody readFailure(HttpAnswer answer) {
         try {
             return answer.read(FailureBody.class);
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Reach.java
@@ -0,0 +1,11 @@
+package org.fescueloom.daemon.dispatch;
+
+/** Names what an entry reaches, as far as it knows. */
+enum Reach {
+    /** The log service, or an entry that the log service serves. */
+    SERVED,
+    /** Other entries, but the log service serves none of them. */
+    LOG_DOWN,
+    /** Neither the log service nor any other entry. */
+    CUT_OFF
+}
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -200,6 +200,22 @@
                 await(() -> !entry.follower.failing());
             }
         }
+
+        /** Guards against incident 18: all tries of a caller ended at an entry that was cut off. */
+        @Test
+        void sendsCallersElsewhereOnceNoOtherEntryAnswers() throws InterruptedException {
+            Entry first = dispatcher();
+            await(() -> entries.stream().allMatch(e -> e.node.ready()));
+            List<Entry> others = entries.stream().filter(e -> e != first).toList();
+            entries.removeAll(others);
+            others.forEach(Entry::kill);
+            assertThat(first.node.ready()).isTrue();
+            first.ownLog.close(true);
+
+            await(() -> !first.node.ready());
+            first.ownLog.close(false);
+            await(first.node::ready);
+        }
     }
 
     @Nested
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
@@ -32,9 +32,9 @@
     private final ScheduledExecutorService loop = Timers.singleThread("test");
     private final AtomicInteger calls = new AtomicInteger();
     private volatile String dispatcher = "";
-    private volatile boolean logDown;
+    private volatile Reach reach = Reach.SERVED;
     private final JobForwarder forwarder =
-            new JobForwarder(http, () -> dispatcher, () -> logDown, loop, new Metrics());
+            new JobForwarder(http, () -> dispatcher, () -> reach, loop, new Metrics());
 
     private interface Reply {
         CompletableFuture<HttpReply> to(int call);
@@ -125,7 +125,7 @@
 
         @Test
         void comeAtOnceWhileTheLogIsDownForAll() {
-            logDown = true;
+            reach = Reach.LOG_DOWN;
             serve(call -> refused(FailureType.LOG_UNAVAILABLE));
 
             assertThat(failure(forwarder.submit(job(), WAIT_MILLIS)))
@@ -133,6 +133,28 @@
             assertThat(calls.get()).isEqualTo(1);
         }
 
+        /** Guards against incident 18: calls at an entry that was cut off took all their time. */
+        @Test
+        void comeAtOnceAtAnEntryThatIsCutOff() {
+            serve(call -> answered(new JobForwarder.ViewAnswer(JobView.RUNNING)));
+            reach = Reach.CUT_OFF;
+
+            assertThat(failure(forwarder.submit(job(), WAIT_MILLIS)))
+                    .isEqualTo(FailureType.CUT_OFF);
+            assertThat(failure(forwarder.view("j", WAIT_MILLIS))).isEqualTo(FailureType.CUT_OFF);
+            assertThat(calls.get()).isZero();
+        }
+
+        /** Guards against incident 18: calls at an entry that was cut off took all their time. */
+        @Test
+        void areUnknownOnceAnEntryIsCutOffAfterAnAttempt() {
+            serve(call -> new CompletableFuture<>());
+            CompletableFuture<Void> call = forwarder.submit(job(), TEST_SECONDS * 1_000);
+            reach = Reach.CUT_OFF;
+
+            assertThat(failure(call)).isEqualTo(FailureType.OUTCOME_UNKNOWN);
+        }
+
         @Test
         void ofRefusalsThatNobodyElseCanMendComeAtOnce() {
             serve(call -> refused(FailureType.INVALID_FIELD));
