Leave calls with little time most of it

Cause: a fixed 0.25 s was set aside for the way of the answer, so a call with less than that had no time at all, and its refusal named a reason that was not so.

A call without any time left is refused with deadline-passed.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -31,9 +31,6 @@
      */
     private static final long ATTEMPT_MILLIS = 1_000;
 
-    /** What the way of an answer between two entries may take, also on a slow machine. */
-    private static final long ANSWER_MARGIN_MILLIS = 250;
-
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     /** After these a call is worth another try: it names its job, so it has effect only once. */
@@ -144,13 +141,17 @@
             }
             String target = dispatcher.get();
             long left = deadline - Clocks.monotonicMillis();
-            if (target.isEmpty() || left <= 0) {
+            if (left <= 0) {
+                giveUp(timeIsOver());
+                return;
+            }
+            if (target.isEmpty()) {
                 later(Dispatcher.notDispatcher());
                 return;
             }
             long timeout = Math.min(left, ATTEMPT_MILLIS);
             // The dispatcher answers before the attempt is given up, so that the outcome is known.
-            long wait = Math.max(1, timeout - ANSWER_MARGIN_MILLIS);
+            long wait = Math.max(1, AnswerMargin.before(timeout));
             String query = method.equals("POST") ? "?wait=" + wait : "";
             http.send(
                             HttpClient.request(method, target, path + query, body).build(),
@@ -206,6 +207,11 @@
         }
     }
 
+    private static SchedulerException timeIsOver() {
+        return new SchedulerException(
+                FailureType.DEADLINE_PASSED, "the time of the caller is over", RETRY_AFTER_MILLIS);
+    }
+
     private static SchedulerException cutOff() {
         return new SchedulerException(
                 FailureType.CUT_OFF,
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
@@ -133,6 +133,14 @@
             assertThat(calls.get()).isEqualTo(1);
         }
 
+        @Test
+        void areNotRunOnceTheTimeOfTheCallerIsOver() {
+            serve(call -> answered(new JobForwarder.ViewAnswer(JobView.QUEUED)));
+
+            assertThat(failure(forwarder.submit(job(), 0))).isEqualTo(FailureType.DEADLINE_PASSED);
+            assertThat(calls.get()).isZero();
+        }
+
         /** Guards against incident 18: calls at an entry that was cut off took all their time. */
         @Test
         void comeAtOnceAtAnEntryThatIsCutOff() {
