Ask entries that were heard of before others

Addresses of entries that have gone are never forgotten, so of three others asked at random all may be dead, and an entry would take itself for cut off. The dispatcher and the entry that was heard of last are asked first now, and one other at random, which may be new.

Not mended: the addresses of gone entries stay in keyed.entries and in memory.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetExchange.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetExchange.java
@@ -3,7 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.fescueloom.daemon.http.HttpClient;
@@ -40,6 +43,7 @@
     private final Consumer<String> ask;
     private final Executor loop;
     private long askedMillis = Long.MIN_VALUE / 2;
+    private final Map<String, Long> heardMillis = new HashMap<>();
     private boolean fetching;
     private volatile long askingSinceMillis = -1;
     private volatile long answeredMillis = Long.MIN_VALUE / 2;
@@ -75,17 +79,24 @@
         }
     }
 
-    private static List<String> chosen(String leader, List<String> others) {
-        List<String> chosen = new ArrayList<>(others);
-        Collections.shuffle(chosen);
-        if (chosen.remove(leader)) {
-            chosen.add(0, leader);
+    /** Chooses the dispatcher, who was heard of last, and any other, who may be a new one. */
+    private List<String> chosen(String leader, List<String> others) {
+        List<String> ranked = new ArrayList<>(others);
+        Collections.shuffle(ranked);
+        ranked.sort(Comparator.comparingLong(peer -> -heardMillis.getOrDefault(peer, 0L)));
+        if (ranked.remove(leader)) {
+            ranked.add(0, leader);
         }
-        return chosen.subList(0, Math.min(MAX_ASKED, chosen.size()));
+        if (ranked.size() > MAX_ASKED) {
+            List<String> rest = ranked.subList(MAX_ASKED - 1, ranked.size());
+            Collections.shuffle(rest);
+        }
+        return ranked.subList(0, Math.min(MAX_ASKED, ranked.size()));
     }
 
     /** Takes note of what another entry said of itself. */
     void heard(PeerHello hello) {
+        heardMillis.put(hello.address(), now());
         if (hello.fleetOffset() > follower.view().offset() && !fetching) {
             fetch(hello.address());
         }
