--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -394,4 +395,59 @@
             used.values().forEach(sum -> assertThat(sum.fitsIn(NODE)).isTrue());
         }
     }
+
+    /** Plays rounds of a second over a rack that small tasks keep full. */
+    @Nested
+    class StreamOfSmallTasks {
+        private static final int RUN_SECONDS = 10;
+        private static final int SLOTS = 8;
+        private final Map<String, long[]> ends = Map.of("x", new long[SLOTS], "y", new long[SLOTS]);
+
+        private List<UpstreamRoom> rooms(long now) {
+            List<UpstreamRoom> rooms = new ArrayList<>();
+            ends.forEach(
+                    (agent, slots) -> {
+                        long busy = Arrays.stream(slots).filter(end -> end > now).count();
+                        rooms.add(room(agent, "r1", NODE.minus(GPU.times(busy))));
+                    });
+            return rooms;
+        }
+
+        private void occupy(Assignment start, long now) {
+            long[] slots = ends.get(start.agents().get(0));
+            int free = 0;
+            while (slots[free] > now) {
+                free++;
+            }
+            slots[free] = now + RUN_SECONDS;
+        }
+
+        /**
+         * Guards against the starvation found with incident 18: small tasks took each free slot.
+         */
+        @Test
+        void keepsNoLargeGangWaitingLongerThanWhatRanWhenItCame() {
+            WaitingUnit large = unit("large", 1, WorkSamples.gang(2, GPU.times(SLOTS)));
+            StepSpec single = WorkSamples.step(1, GPU);
+            long came = 15;
+            long started = Long.MAX_VALUE;
+            for (long now = 0; now <= came + RUN_SECONDS && started > now; now++) {
+                List<WaitingUnit> waiting = new ArrayList<>();
+                waiting.add(unit("small-" + now, 2, single));
+                waiting.add(unit("other-" + now, 2, single));
+                if (now >= came) {
+                    waiting.add(large);
+                }
+                for (Assignment start :
+                        TaskScheduler.plan(waiting, List.of(), rooms(now)).starts()) {
+                    if (start.unit().equals(large)) {
+                        started = now;
+                    } else {
+                        occupy(start, now);
+                    }
+                }
+            }
+            assertThat(started).isLessThanOrEqualTo(came + RUN_SECONDS);
+        }
+    }
 }
