--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -43,10 +43,10 @@
     private final ScheduledExecutorService loop;
     private final Metrics metrics;
     private final Backoff backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, new Random());
+    private final StoreContact contact = StoreContact.onSystemClocks();
     private final Map<String, KeyedRecord> newest = new LinkedHashMap<>();
     private volatile FleetView view = FleetView.EMPTY;
     private volatile FleetCopy copy = FleetCopy.EMPTY;
-    private final StoreContact contact;
     private volatile boolean failing;
     private volatile boolean closed;
     private long failingSinceMillis;
@@ -72,7 +72,6 @@
         this.decoder = decoder;
         this.loop = loop;
         this.metrics = metrics;
-        contact = StoreContact.onSystemClocks();
         metrics.registry().gauge("fleet.version", () -> () -> view.version());
         metrics.registry().gauge("fleet.age-millis", () -> this::ageMillis);
     }
