--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatcherRoutes.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatcherRoutes.java
@@ -48,7 +48,7 @@
 
     private CompletableFuture<HttpReply> view(HttpCall call) {
         String id = call.path("id");
-        return here(d -> done(new JobForwarder.ViewAnswer(d.view(id))));
+        return here(d -> EntryNode.done(new JobForwarder.ViewAnswer(d.view(id))));
     }
 
     private CompletableFuture<HttpReply> cancel(HttpCall call) {
@@ -59,7 +59,7 @@
 
     private CompletableFuture<HttpReply> pending(HttpCall call) {
         String queue = call.path("queue");
-        return here(d -> done(new JobForwarder.PendingAnswer(d.pending(queue))));
+        return here(d -> EntryNode.done(new JobForwarder.PendingAnswer(d.pending(queue))));
     }
 
     private CompletableFuture<HttpReply> report(HttpCall call) {
@@ -85,8 +85,4 @@
                         loop)
                 .thenCompose(reply -> reply);
     }
-
-    private static CompletableFuture<HttpReply> done(Object body) {
-        return CompletableFuture.completedFuture(HttpReply.json(body));
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -119,7 +119,7 @@
      */
     public void routes(HttpServer server) {
         server.route("POST", "/peer/hello", call -> onLoop(() -> answerHello(call)));
-        server.route("GET", "/peer/fleet", call -> onLoop(follower::copy));
+        server.route("GET", "/peer/fleet", call -> done(follower.copy()));
         server.route("GET", "/agent/dispatcher", call -> onLoop(this::myHello));
         new DispatcherRoutes(() -> dispatcher, loop).routes(server);
     }
@@ -191,6 +191,11 @@
         return forwarder;
     }
 
+    /** Answers a call at once. */
+    static CompletableFuture<HttpReply> done(Object body) {
+        return CompletableFuture.completedFuture(HttpReply.json(body));
+    }
+
     private CompletableFuture<HttpReply> onLoop(Supplier<Object> work) {
         return CompletableFuture.supplyAsync(() -> HttpReply.json(work.get()), loop);
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -259,36 +259,33 @@
 
     private void replaceAll(FleetCopy read) {
         newest.clear();
-        FleetConfiguration configuration = view.configuration();
-        Set<String> out = new HashSet<>();
-        for (KeyedRecord item : read.records()) {
-            newest.put(item.key(), item);
-            configuration = newer(configuration, decoder.configuration(item));
-            decoder.zone(item.key()).ifPresent(out::add);
-        }
-        publish(new FleetView(configuration, out, read.offset()));
+        fold(read.records(), new HashSet<>(), read.offset());
     }
 
     /** Applies records that begin at an offset, but those that were taken from another process. */
     private void apply(long from, List<KeyedRecord> records) {
         int known = (int) Math.min(records.size(), view.offset() - from);
-        if (known == records.size()) {
-            return;
+        if (known < records.size()) {
+            List<KeyedRecord> further = records.subList(known, records.size());
+            fold(further, new HashSet<>(view.zonesOut()), from + records.size());
         }
+    }
+
+    /** Takes records over into what is known, and publishes it as of an offset. */
+    private void fold(List<KeyedRecord> records, Set<String> zonesOut, long end) {
         FleetConfiguration configuration = view.configuration();
-        Set<String> out = new HashSet<>(view.zonesOut());
-        for (KeyedRecord item : records.subList(known, records.size())) {
+        for (KeyedRecord item : records) {
             configuration = newer(configuration, decoder.configuration(item));
             Optional<String> zone = decoder.zone(item.key());
             if (item.value().length == 0) {
                 newest.remove(item.key());
-                zone.ifPresent(out::remove);
+                zone.ifPresent(zonesOut::remove);
             } else {
                 newest.put(item.key(), item);
-                zone.ifPresent(out::add);
+                zone.ifPresent(zonesOut::add);
             }
         }
-        publish(new FleetView(configuration, out, from + records.size()));
+        publish(new FleetView(configuration, zonesOut, end));
     }
 
     private static FleetConfiguration newer(
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.http.HttpServer;
@@ -110,11 +109,7 @@
     }
 
     private static void await(BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
-        while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).as("condition in time").isLessThan(end);
-            Thread.sleep(20);
-        }
+        Polling.await(condition, WAIT_SECONDS);
     }
 
     private static boolean accepts(Entry entry, String id) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetExchangeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetExchangeTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.http.HttpClient;
@@ -67,11 +66,7 @@
     }
 
     private static void await(BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
-        while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).as("condition in time").isLessThan(end);
-            Thread.sleep(20);
-        }
+        Polling.await(condition, WAIT_SECONDS);
     }
 
     private static PeerHello hello(String address, boolean logServes) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetFollowerTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetFollowerTest.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.fleet.FleetConfiguration;
@@ -61,15 +60,7 @@
     private void startAt(long version) throws InterruptedException {
         configure(version);
         follower.start();
-        await(() -> follower.view().version() == version, WAIT_SECONDS);
-    }
-
-    private static void await(BooleanSupplier condition, long seconds) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
-        while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).as("condition in time").isLessThan(end);
-            Thread.sleep(5);
-        }
+        Polling.await(() -> follower.view().version() == version, WAIT_SECONDS);
     }
 
     @AfterEach
@@ -85,11 +76,11 @@
         void ofTheLogIsNoticedWithoutWaitingForNews() throws InterruptedException {
             startAt(1);
             way.close(true);
-            await(follower::failing, WAIT_SECONDS);
+            Polling.await(follower::failing, WAIT_SECONDS);
 
             way.close(false);
             long back = System.nanoTime();
-            await(() -> !follower.failing(), WAIT_SECONDS);
+            Polling.await(() -> !follower.failing(), WAIT_SECONDS);
 
             // The pauses between reads are half a second at most.
             assertThat(System.nanoTime() - back).isLessThan(TimeUnit.SECONDS.toNanos(1));
@@ -101,7 +92,7 @@
         private FleetCopy copyOfAnother() throws InterruptedException {
             FleetFollower other = follower(log);
             other.start();
-            await(() -> other.copy().offset() == log.records(TOPIC).size(), WAIT_SECONDS);
+            Polling.await(() -> other.copy().offset() == log.records(TOPIC).size(), WAIT_SECONDS);
             other.close();
             return other.copy();
         }
@@ -114,13 +105,13 @@
             store("out/z", "x");
 
             follower.adopt(copyOfAnother(), "other");
-            await(() -> follower.view().version() == 2, WAIT_SECONDS);
+            Polling.await(() -> follower.view().version() == 2, WAIT_SECONDS);
             assertThat(follower.view().zonesOut()).containsExactly("z");
 
             store("out/z", "");
             configure(3);
             way.close(false);
-            await(() -> follower.view().version() == 3, WAIT_SECONDS);
+            Polling.await(() -> follower.view().version() == 3, WAIT_SECONDS);
             assertThat(follower.view().zonesOut()).isEmpty();
             assertThat(follower.view().offset()).isEqualTo(log.records(TOPIC).size());
         }
@@ -130,12 +121,12 @@
             startAt(1);
             FleetCopy old = copyOfAnother();
             configure(2);
-            await(() -> follower.view().version() == 2, WAIT_SECONDS);
+            Polling.await(() -> follower.view().version() == 2, WAIT_SECONDS);
 
             follower.adopt(old, "other");
             configure(3);
 
-            await(() -> follower.view().version() == 3, WAIT_SECONDS);
+            Polling.await(() -> follower.view().version() == 3, WAIT_SECONDS);
             assertThat(follower.view().offset()).isEqualTo(3);
         }
 
@@ -144,11 +135,11 @@
             configure(5);
             way.close(true);
             follower.start();
-            await(follower::failing, WAIT_SECONDS);
+            Polling.await(follower::failing, WAIT_SECONDS);
 
             follower.adopt(copyOfAnother(), "other");
 
-            await(() -> follower.view().version() == 5, WAIT_SECONDS);
+            Polling.await(() -> follower.view().version() == 5, WAIT_SECONDS);
         }
     }
 
@@ -158,17 +149,17 @@
         void lastsAsLongAsTheLogAnswers() throws InterruptedException {
             assertThat(follower.current()).isFalse();
             startAt(1);
-            await(follower::current, WAIT_SECONDS);
+            Polling.await(follower::current, WAIT_SECONDS);
 
             way.close(true);
-            await(() -> !follower.current(), WAIT_SECONDS);
+            Polling.await(() -> !follower.current(), WAIT_SECONDS);
         }
 
         @Test
         void comesFromAnotherProcessThatKnowsNothingNewer() throws InterruptedException {
             startAt(1);
             way.close(true);
-            await(() -> !follower.current(), WAIT_SECONDS);
+            Polling.await(() -> !follower.current(), WAIT_SECONDS);
 
             follower.confirm(2, follower.now());
             loopIsDone();
