--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -78,6 +78,7 @@
     private boolean claiming;
     private long claimNotBefore;
     private boolean helloPending;
+    private Suspicion suspicion = Suspicion.SILENT;
     private volatile boolean leaving;
     private boolean registered;
 
@@ -231,23 +232,34 @@
             }
             // Others may still name an earlier life of this entry, which has gone.
             leader = hello.dispatcher().equals(address) ? "" : hello.dispatcher();
-            leaderHeardMillis = now();
-            suspectedMillis = -1;
+            heardLeader();
             EventLog.event("dispatcher-changed")
                     .field("epoch", epoch)
                     .field("dispatcher", leader)
                     .info();
         } else if (hello.epoch() == epoch && hello.leaving() && leader.equals(hello.address())) {
-            leaderHeardMillis = now() - SUSPECT_MILLIS;
+            suspect(Suspicion.LEAVING);
         } else if (hello.epoch() == epoch
                 && leader.isEmpty()
                 && !hello.leaving()
                 && hello.dispatcher().equals(hello.address())) {
             leader = hello.address();
-            leaderHeardMillis = now();
+            heardLeader();
         }
     }
 
+    private void heardLeader() {
+        leaderHeardMillis = now();
+        suspectedMillis = -1;
+        suspicion = Suspicion.SILENT;
+    }
+
+    /** Counts the dispatcher as not heard of for long enough to be replaced. */
+    private void suspect(Suspicion reason) {
+        leaderHeardMillis = now() - SUSPECT_MILLIS;
+        suspicion = reason;
+    }
+
     private List<String> others() {
         List<String> all = new ArrayList<>(entries);
         all.remove(address);
@@ -293,7 +305,7 @@
             return;
         }
         if (suspectedMillis < 0) {
-            suspect(now);
+            askOthers(now);
         } else if (now >= claimNotBefore) {
             claim();
         }
@@ -312,19 +324,19 @@
                             }
                             if (!hello.dispatcher().equals(target)) {
                                 leader = "";
-                            } else if (!hello.leaving()
-                                    && hello.storeFailingMillis() < STORE_FAILING_MILLIS) {
-                                leaderHeardMillis = now();
-                                suspectedMillis = -1;
+                            } else if (hello.leaving()) {
+                                suspect(Suspicion.LEAVING);
+                            } else if (hello.storeFailingMillis() >= STORE_FAILING_MILLIS) {
+                                suspect(Suspicion.LOG_FAILS_IT);
                             } else {
-                                leaderHeardMillis = now() - SUSPECT_MILLIS;
+                                heardLeader();
                             }
                         },
                         loop);
     }
 
     /** Asks the other entries; sets when this one may claim. */
-    private void suspect(long now) {
+    private void askOthers(long now) {
         suspectedMillis = now;
         List<String> turn = new ArrayList<>(entries);
         turn.remove(leader);
@@ -333,6 +345,8 @@
                 .field("dispatcher", leader)
                 .field("epoch", epoch)
                 .field("silent", now - leaderHeardMillis)
+                .field("why", why())
+                .field("log-failing", follower.failing())
                 .info();
         for (String peer : others()) {
             if (!peer.equals(leader)) {
@@ -352,6 +366,10 @@
         }
     }
 
+    private Suspicion why() {
+        return leader.isEmpty() ? Suspicion.NO_DISPATCHER : suspicion;
+    }
+
     private boolean hearsLeader(PeerHello hello) {
         return hello.epoch() == epoch
                 && !hello.dispatcher().isEmpty()
@@ -361,6 +379,7 @@
 
     private void claim() {
         claiming = true;
+        Suspicion why = why();
         DispatchClaim claim = new DispatchClaim(address, process);
         new ClaimAttempt(log, claim, clocks)
                 .run(epoch)
@@ -369,7 +388,7 @@
                             claiming = false;
                             suspectedMillis = -1;
                             if (error == null) {
-                                lead(start);
+                                lead(start, why);
                             } else {
                                 leaderHeardMillis = now() - SUSPECT_MILLIS;
                                 EventLog.event("claim-failed")
@@ -381,10 +400,11 @@
                         loop);
     }
 
-    private void lead(Dispatcher.Start start) {
+    private void lead(Dispatcher.Start start, Suspicion why) {
         if (start.epoch() <= epoch) {
             return;
         }
+        String before = leader;
         epoch = start.epoch();
         dispatcher =
                 new Dispatcher(
@@ -399,8 +419,11 @@
                         () -> stepDown("replaced"));
         leader = address;
         metrics.count("dispatcher.claims");
+        metrics.count("dispatcher.claims." + why.text());
         EventLog.event("dispatching")
                 .field("epoch", epoch)
+                .field("before", before)
+                .field("why", why)
                 .field("jobs", start.content().jobs().size())
                 .field("config", follower.view().version())
                 .info();
