Listen for callers before anything else is loaded

What callers saw: "no connection" at each try while the entries started, up to five within a second, and then nothing any more. Cause: an entry opened its port last, 0.7 to 1.2 s after its process began. A refused connection costs a caller a try at once. Ruled out: a slow election (the ports open first, entries dispatch 0.2 s later); the balancer (it uses all entries if none is ready). Meanwhile the operating system keeps the connections. Why it works: a caller that waits for half a second has lost half a second, one that is refused five times has lost its job.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
@@ -5,6 +5,7 @@
 import io.jooby.ServerOptions;
 import io.jooby.internal.netty.NettyHandler;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -33,7 +34,6 @@
     private static final int MAX_INITIAL_LINE_BYTES = 4_096;
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 16_384;
-    private static final int BACKLOG = 1_024;
     private static final long QUIET_MILLIS = 50;
     private static final long STOP_MILLIS = 2_000;
 
@@ -44,19 +44,22 @@
     private EventLoopGroup acceptor;
     private EventLoopGroup eventLoops;
     private ExecutorService workers;
+    private final ListeningSocket open;
     private int port;
 
     /**
-     * Creates a server that does not listen yet.
+     * Creates a server that does not accept connections yet.
      *
      * @param load counts what the connections take, not null
      * @param budget bounds the bodies of requests in progress, not null
      * @param port the port to listen on; 0 for any free one
+     * @param open a socket that listens already and is taken over; null to open one at the start
      */
-    GuardedNettyServer(ServerLoad load, BodyBudget budget, int port) {
+    GuardedNettyServer(ServerLoad load, BodyBudget budget, int port, ListeningSocket open) {
         this.load = load;
         this.budget = budget;
         this.port = port;
+        this.open = open;
     }
 
     /**
@@ -102,18 +105,20 @@
 
     private InetSocketAddress bind(Jooby application, InetSocketAddress address) {
         HttpDataFactory memory = new DefaultHttpDataFactory(false);
-        return (InetSocketAddress)
+        ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(acceptor, eventLoops)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_BACKLOG, ListeningSocket.BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(new Pipeline(application, memory))
-                        .bind(address)
-                        .syncUninterruptibly()
-                        .channel()
-                        .localAddress();
+                        .childHandler(new Pipeline(application, memory));
+        ChannelFuture listening =
+                open == null
+                        ? bootstrap.channel(NioServerSocketChannel.class).bind(address)
+                        : bootstrap
+                                .channelFactory(() -> new NioServerSocketChannel(open.channel()))
+                                .register();
+        return (InetSocketAddress) listening.syncUninterruptibly().channel().localAddress();
     }
 
     @Override
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -56,20 +56,37 @@
      * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
      */
     public HttpServer(String host, int port, int maxBodyBytes, ServerLimits limits) {
+        this(Objects.requireNonNull(host, "host"), port, maxBodyBytes, limits, null);
+    }
+
+    /**
+     * Creates a server that takes over a socket which listens already; it accepts the connections
+     * that wait there once it is started.
+     *
+     * @param open the socket, not null
+     * @param maxBodyBytes the longest request body that is accepted, in bytes
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
+     */
+    public HttpServer(ListeningSocket open, int maxBodyBytes) {
+        this(open.host(), open.port(), maxBodyBytes, ServerLimits.DEFAULT, open);
+    }
+
+    private HttpServer(
+            String host, int port, int maxBodyBytes, ServerLimits limits, ListeningSocket open) {
         if (maxBodyBytes <= 0) {
             throw new IllegalArgumentException("maxBodyBytes is not positive: " + maxBodyBytes);
         }
         System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false");
         System.setProperty(NO_NATIVE_PROPERTY, "true");
         BodyBudget budget = new BodyBudget(Math.max(BODY_BUDGET_BYTES, maxBodyBytes));
-        options.setHost(Objects.requireNonNull(host, "host"));
+        options.setHost(host);
         options.setIoThreads(IO_THREADS);
         options.setWorkerThreads(WORKER_THREADS);
         options.setMaxRequestSize(maxBodyBytes);
         options.setDefaultHeaders(false);
         app.setExecutionMode(ExecutionMode.EVENT_LOOP);
         app.error(HttpServer::sendError);
-        server = new GuardedNettyServer(new ServerLoad(limits), budget, port);
+        server = new GuardedNettyServer(new ServerLoad(limits), budget, port, open);
     }
 
     /**
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/http/HttpServerTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/http/HttpServerTest.java
@@ -81,6 +81,32 @@
         return client.send(request, PATIENCE);
     }
 
+    @Nested
+    class SocketThatListensAlready {
+        @Test
+        void servesTheCallersThatCameBeforeTheStart() throws Exception {
+            ListeningSocket open = ListeningSocket.open("127.0.0.1:0");
+            CompletableFuture<HttpAnswer> early = post(open.address(), "early");
+            HttpServer later = new HttpServer(open, MAX_BODY);
+            later.route("POST", "/echo", HttpServerTest::echo);
+            assertThat(early).isNotDone();
+
+            later.start();
+
+            assertThat(early.join().body()).asString().isEqualTo("early");
+            assertThat(later.port()).isEqualTo(open.port());
+            assertThat(post(open.address(), "later").join().status()).isEqualTo(HttpReply.OK);
+            later.close();
+        }
+
+        private CompletableFuture<HttpAnswer> post(String address, String text) {
+            RequestBody body = RequestBody.create(text, MediaType.get("text/plain"));
+            Request request =
+                    new Request.Builder().url("http://" + address + "/echo").post(body).build();
+            return client.send(request, PATIENCE);
+        }
+    }
+
     @Nested
     class Replies {
         @Test
