Load no trust store in processes that speak no TLS

What callers saw: the start of an entry, in which nobody is answered, took longer than it had to. Cause: the HTTP client sets TLS up by default, with the trust store of the platform; every connection of the system is in clear text. Ruled out: classes missing in the archive (78 of 3,722 are not from it). Change: the client takes clear text only. Before: EntryStartTest$Classes fails, SSLContextImpl is loaded.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
@@ -3,12 +3,14 @@
 import java.io.IOException;
 import java.net.Proxy;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.ConnectionPool;
+import okhttp3.ConnectionSpec;
 import okhttp3.Dispatcher;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -63,6 +65,8 @@
                         .connectTimeout(Objects.requireNonNull(connectTimeout, "connectTimeout"))
                         .readTimeout(Duration.ZERO)
                         .writeTimeout(Duration.ZERO)
+                        // Without TLS no trust store is loaded, a third of the time of a start.
+                        .connectionSpecs(List.of(ConnectionSpec.CLEARTEXT))
                         .proxy(Proxy.NO_PROXY)
                         .retryOnConnectionFailure(false)
                         .followRedirects(false)
