Claim only on what was known when the decision was made

What callers saw: at the return of the store 503 not-dispatcher or 504 for calls in flight, and 0.2 s without a dispatcher, in the moment that decided over their last tries; the same after a restart of everything. Cause: entries claimed all through an outage, and a claim that found the log moved on was repeated at the new end, whoever had written. The first one after an outage for all replaced a dispatcher that was served again; after a restart an entry replaced the one that others had just chosen and that still loaded. Ruled out: a dispatcher that noticed the return late (store-regained comes 0.02 to 0.07 s after it). Change: Candidacy. An entry reads the end of the log when its suspicion begins and claims at that end only. If a claim came in between it follows it; if the dispatcher that the log had failed has written, it is left. A stored claim is told before the jobs are loaded. Turns of entries that refuse the connection are not waited for.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
+import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.json.Json;
 
 /**
@@ -10,10 +12,14 @@
  *
  * <p>The offset behind the claim is the epoch: each later claim has a higher one. From then on
  * nobody else can append without being noticed, so the pages that are read do not change.
+ *
+ * <p>A claim names the offset at which the log ended when the decision to claim was made. If the
+ * log has moved on since, somebody writes: the claim is not repeated blindly, since that would
+ * replace a dispatcher that others have just chosen, or the one that was suspected and is well
+ * again.
  */
 final class ClaimAttempt {
     private static final Duration TIMEOUT = Duration.ofMillis(900);
-    private static final int MAX_TRIES = 5;
 
     private final KeyedLog log;
     private final KeyedRecord claim;
@@ -25,38 +31,59 @@
         this.clocks = clocks;
     }
 
+    /** Tells how a claim has ended. */
+    sealed interface Result {
+        /** The entry dispatches; holds what it starts from. */
+        record Won(Dispatcher.Start start) implements Result {}
+
+        /** Another entry has claimed since; holds its claim and its epoch. */
+        record Overtaken(DispatchClaim claim, long epoch) implements Result {}
+
+        /** Records other than claims were appended since; holds where the log ends now. */
+        record MovedOn(long end) implements Result {}
+    }
+
     /**
-     * Claims and loads.
+     * Claims, and loads if that was successful.
      *
-     * @param guess where the log may end
-     * @return a future of what the dispatcher starts from; fails if the log service fails
+     * @param end where the log ended when the decision was made
+     * @param claimed takes the epoch as soon as the claim is stored, before anything is loaded
+     * @return a future of the result; fails if the log service fails
      */
-    CompletableFuture<Dispatcher.Start> run(long guess) {
-        return claim(guess, MAX_TRIES)
-                .thenCompose(
-                        won ->
-                                JobStore.load(log)
-                                        .thenApply(
-                                                content ->
-                                                        new Dispatcher.Start(
-                                                                won.end(), won.moment(), content)));
-    }
-
-    private record Won(long end, StoreContact.Moment moment) {}
-
-    private CompletableFuture<Won> claim(long expectedEnd, int triesLeft) {
+    CompletableFuture<Result> run(long end, LongConsumer claimed) {
         StoreContact.Moment sent = clocks.now();
-        return log.append(JobStore.TOPIC, List.of(claim), expectedEnd, TIMEOUT)
+        return log.append(JobStore.TOPIC, List.of(claim), end, TIMEOUT)
                 .thenCompose(
                         outcome -> {
-                            if (outcome.appended()) {
-                                return CompletableFuture.completedFuture(
-                                        new Won(outcome.endOffset(), sent));
+                            if (!outcome.appended()) {
+                                return lookAt(end, outcome.endOffset());
                             }
-                            if (triesLeft == 0) {
-                                return CompletableFuture.failedFuture(Dispatcher.notDispatcher());
+                            claimed.accept(outcome.endOffset());
+                            return load(outcome.endOffset(), sent);
+                        });
+    }
+
+    private CompletableFuture<Result> load(long epoch, StoreContact.Moment sent) {
+        return JobStore.load(log)
+                .thenApply(content -> new Result.Won(new Dispatcher.Start(epoch, sent, content)));
+    }
+
+    /** Looks for the newest claim among the records that were appended behind an offset. */
+    private CompletableFuture<Result> lookAt(long from, long end) {
+        return log.read(JobStore.TOPIC, from, Duration.ZERO)
+                .thenApply(
+                        slice -> {
+                            List<KeyedRecord> records = slice.records();
+                            for (int i = records.size() - 1; i >= 0; i--) {
+                                if (records.get(i).key().equals(JobStore.CLAIM_KEY)) {
+                                    return overtaken(records.get(i), from + i + 1);
+                                }
                             }
-                            return claim(outcome.endOffset(), triesLeft - 1);
+                            return new Result.MovedOn(Math.max(end, slice.endOffset()));
                         });
     }
+
+    private static Result overtaken(KeyedRecord found, long epoch) throws SchedulerException {
+        return new Result.Overtaken(Json.read(found.value(), DispatchClaim.class), epoch);
+    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -1,5 +1,6 @@
 package org.fescueloom.daemon.dispatch;
 
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,9 +34,6 @@
 
     private static final long TICK_MILLIS = 50;
 
-    /** How long other entries are given to say that they hear the dispatcher. */
-    private static final long ASK_MILLIS = 50;
-
     /** How often the dispatcher is asked whether it lives. */
     private static final long HELLO_MILLIS = 400;
 
@@ -51,9 +49,6 @@
     /** A dispatcher that the log service fails for this long is replaced if another can write. */
     private static final long STORE_FAILING_MILLIS = 900;
 
-    /** How much later the next entry in turn claims. */
-    private static final long TURN_MILLIS = 300;
-
     private static final int MAX_CALLS = 64;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
@@ -68,16 +63,15 @@
     private final HttpClient http = new HttpClient(MAX_CALLS, CONNECT_TIMEOUT);
     private final JobForwarder forwarder;
     private final StoreContact clocks = StoreContact.onSystemClocks();
+    private final Candidacy candidacy;
     private final Set<String> entries = new TreeSet<>();
     private volatile Dispatcher dispatcher;
     private volatile String leader = "";
     private long epoch;
     private long leaderHeardMillis;
     private long helloMillis = Long.MIN_VALUE / 2;
-    private long suspectedMillis = -1;
-    private boolean claiming;
-    private long claimNotBefore;
     private boolean helloPending;
+    private String replaced = "";
     private Suspicion suspicion = Suspicion.SILENT;
     private volatile boolean leaving;
     private boolean registered;
@@ -109,6 +103,16 @@
         this.metrics = metrics;
         fleetExchange = new FleetExchange(follower, http, this::sayHello, loop);
         forwarder = new JobForwarder(http, () -> leader, fleetExchange::reach, loop, metrics);
+        DispatchClaim claim = new DispatchClaim(address, process);
+        candidacy =
+                new Candidacy(
+                        log,
+                        new ClaimAttempt(log, claim, clocks),
+                        follower::servedForMillis,
+                        clocks,
+                        loop,
+                        this::claimed,
+                        this::claimEnded);
         entries.addAll(seeds);
         entries.add(address);
     }
@@ -226,17 +230,7 @@
         entries.add(hello.address());
         entries.addAll(hello.entries());
         if (hello.epoch() > epoch) {
-            epoch = hello.epoch();
-            if (dispatcher != null) {
-                stepDown("higher epoch " + epoch);
-            }
-            // Others may still name an earlier life of this entry, which has gone.
-            leader = hello.dispatcher().equals(address) ? "" : hello.dispatcher();
-            heardLeader();
-            EventLog.event("dispatcher-changed")
-                    .field("epoch", epoch)
-                    .field("dispatcher", leader)
-                    .info();
+            follow(hello.dispatcher(), hello.epoch());
         } else if (hello.epoch() == epoch && hello.leaving() && leader.equals(hello.address())) {
             suspect(Suspicion.LEAVING);
         } else if (hello.epoch() == epoch
@@ -248,9 +242,27 @@
         }
     }
 
+    /** Takes the holder of a newer claim for the dispatcher. */
+    private void follow(String newer, long newerEpoch) {
+        if (newerEpoch <= epoch) {
+            return;
+        }
+        epoch = newerEpoch;
+        if (dispatcher != null) {
+            stepDown("higher epoch " + epoch);
+        }
+        // Others may still name an earlier life of this entry, which has gone.
+        leader = newer.equals(address) ? "" : newer;
+        heardLeader();
+        EventLog.event("dispatcher-changed")
+                .field("epoch", epoch)
+                .field("dispatcher", leader)
+                .info();
+    }
+
     private void heardLeader() {
         leaderHeardMillis = now();
-        suspectedMillis = -1;
+        candidacy.drop();
         suspicion = Suspicion.SILENT;
     }
 
@@ -295,19 +307,28 @@
 
     private void follow() {
         long now = now();
+        if (leader.equals(address)) {
+            if (candidacy.claiming()) {
+                return;
+            }
+            // What is kept could not be loaded after the claim.
+            leader = "";
+        }
         if (!leader.isEmpty() && now - helloMillis >= HELLO_MILLIS && !helloPending) {
             helloLeader(now);
         }
         if (now - leaderHeardMillis < SUSPECT_MILLIS && !leader.isEmpty()) {
             return;
         }
-        if (claiming || follower.view().configuration() == null) {
+        if (follower.view().configuration() == null) {
             return;
         }
-        if (suspectedMillis < 0) {
-            askOthers(now);
-        } else if (now >= claimNotBefore) {
-            claim();
+        if (!candidacy.begun()) {
+            if (candidacy.mayBegin(why(), now)) {
+                askOthers(now);
+            }
+        } else {
+            candidacy.tick(now);
         }
     }
 
@@ -337,10 +358,7 @@
 
     /** Asks the other entries; sets when this one may claim. */
     private void askOthers(long now) {
-        suspectedMillis = now;
-        List<String> turn = new ArrayList<>(entries);
-        turn.remove(leader);
-        claimNotBefore = now + ASK_MILLIS + TURN_MILLIS * Math.max(0, turn.indexOf(address));
+        candidacy.begin(why(), now, Candidacy.turn(List.copyOf(entries), leader, address));
         EventLog.event("dispatcher-suspected")
                 .field("dispatcher", leader)
                 .field("epoch", epoch)
@@ -350,22 +368,22 @@
                 .info();
         for (String peer : others()) {
             if (!peer.equals(leader)) {
-                sayHello(peer)
-                        .whenCompleteAsync(
-                                (hello, error) -> {
-                                    if (error == null && hearsLeader(hello)) {
-                                        claimNotBefore =
-                                                Math.max(
-                                                        claimNotBefore,
-                                                        now() + HEARD_BY_OTHERS_MILLIS);
-                                        suspectedMillis = -1;
-                                    }
-                                },
-                                loop);
+                sayHello(peer).whenCompleteAsync((hello, e) -> asked(peer, hello, e), loop);
             }
         }
     }
 
+    /** Takes note of what another entry said when it was asked whether it hears the dispatcher. */
+    private void asked(String peer, PeerHello hello, Throwable error) {
+        if (error == null && hearsLeader(hello)) {
+            candidacy.dropUntil(now() + HEARD_BY_OTHERS_MILLIS);
+        } else if (error != null
+                && Failures.causeOf(error) instanceof ConnectException
+                && peer.compareTo(address) < 0) {
+            candidacy.skipTurn();
+        }
+    }
+
     private Suspicion why() {
         return leader.isEmpty() ? Suspicion.NO_DISPATCHER : suspicion;
     }
@@ -377,34 +395,31 @@
                 && !hello.address().equals(hello.dispatcher());
     }
 
-    private void claim() {
-        claiming = true;
-        Suspicion why = why();
-        DispatchClaim claim = new DispatchClaim(address, process);
-        new ClaimAttempt(log, claim, clocks)
-                .run(epoch)
-                .whenCompleteAsync(
-                        (start, error) -> {
-                            claiming = false;
-                            suspectedMillis = -1;
-                            if (error == null) {
-                                lead(start, why);
-                            } else {
-                                leaderHeardMillis = now() - SUSPECT_MILLIS;
-                                EventLog.event("claim-failed")
-                                        .field("epoch", epoch)
-                                        .error(Failures.causeOf(error))
-                                        .warn();
-                            }
-                        },
-                        loop);
+    /** Tells others of a claim at once, so that none of them claims while this entry loads. */
+    private void claimed(long newEpoch) {
+        if (newEpoch > epoch) {
+            epoch = newEpoch;
+            replaced = leader;
+            leader = address;
+            leaderHeardMillis = now();
+            others().forEach(this::sayHello);
+        }
+    }
+
+    private void claimEnded(ClaimAttempt.Result result) {
+        if (result instanceof ClaimAttempt.Result.Won won) {
+            lead(won.start());
+        } else if (result instanceof ClaimAttempt.Result.Overtaken overtaken) {
+            follow(overtaken.claim().address(), overtaken.epoch());
+        } else {
+            heardLeader();
+        }
     }
 
-    private void lead(Dispatcher.Start start, Suspicion why) {
-        if (start.epoch() <= epoch) {
+    private void lead(Dispatcher.Start start) {
+        if (start.epoch() < epoch) {
             return;
         }
-        String before = leader;
         epoch = start.epoch();
         dispatcher =
                 new Dispatcher(
@@ -419,10 +434,11 @@
                         () -> stepDown("replaced"));
         leader = address;
         metrics.count("dispatcher.claims");
+        Suspicion why = candidacy.why();
         metrics.count("dispatcher.claims." + why.text());
         EventLog.event("dispatching")
                 .field("epoch", epoch)
-                .field("before", before)
+                .field("before", replaced)
                 .field("why", why)
                 .field("jobs", start.content().jobs().size())
                 .field("config", follower.view().version())
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -50,6 +50,7 @@
     private volatile boolean failing;
     private volatile boolean closed;
     private long failingSinceMillis;
+    private volatile long servedSinceMillis = contact.now().steadyMillis();
     private boolean settled;
 
     /**
@@ -100,6 +101,15 @@
         return failing;
     }
 
+    /**
+     * Returns for how long no call of this process to the log service has failed.
+     *
+     * @return milliseconds, since the start at most; 0 while calls fail
+     */
+    long servedForMillis() {
+        return failing ? 0 : contact.now().steadyMillis() - servedSinceMillis;
+    }
+
     /** Starts to follow. */
     public void start() {
         readNewest();
@@ -247,6 +257,7 @@
         backoff.reset();
         contact.confirm(sent);
         if (failing) {
+            servedSinceMillis = contact.now().steadyMillis();
             failing = false;
             EventLog.event("operator-log-regained")
                     .field("offset", view.offset())
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
@@ -23,6 +23,9 @@
     /** The key under which an entry claims to be the dispatcher. */
     static final String CLAIM_KEY = "dispatcher";
 
+    /** Follows every key: a page that begins behind it only tells where the log ends. */
+    static final String LAST_KEY = "~";
+
     private static final String SUBMISSION_PREFIX = "j/";
     private static final String PROGRESS_PREFIX = "p/";
     private static final String SPEED_PREFIX = "u/";
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -44,7 +44,9 @@
     private Dispatcher claim() {
         ClaimAttempt attempt =
                 new ClaimAttempt(log, new DispatchClaim("here", "p"), loop.contact());
-        Dispatcher.Start start = attempt.run(0).join();
+        int end = log.records(JobStore.TOPIC).size();
+        Dispatcher.Start start =
+                ((ClaimAttempt.Result.Won) attempt.run(end, epoch -> {}).join()).start();
         Dispatcher dispatcher =
                 new Dispatcher(
                         start,
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -213,6 +213,38 @@
         }
     }
 
+    @Nested
+    class OutageOfTheLog {
+        private static final long OUTAGE_MILLIS = 4_000;
+
+        /** Guards against incident 21: entries replaced a dispatcher that lived. */
+        @Test
+        void forAllLeavesTheDispatcherInPlace() throws InterruptedException {
+            Entry first = dispatcher();
+            await(() -> entries.stream().allMatch(e -> e.node.ready()));
+            long before = claims();
+            entries.forEach(e -> e.ownLog.close(true));
+            Thread.sleep(OUTAGE_MILLIS);
+            entries.forEach(e -> e.ownLog.close(false));
+
+            for (int i = 0; i < 20; i++) {
+                Entry entry = entries.get(i % 3);
+                String id = "job-" + i;
+                await(() -> accepts(entry, id));
+            }
+            await(() -> entries.stream().noneMatch(e -> e.follower.failing()));
+            Thread.sleep(OUTAGE_MILLIS / 2);
+            assertThat(dispatcher()).isSameAs(first);
+            assertThat(claims()).isEqualTo(before);
+        }
+
+        private long claims() {
+            return log.records(JobStore.TOPIC).stream()
+                    .filter(r -> r.key().equals(JobStore.CLAIM_KEY))
+                    .count();
+        }
+    }
+
     @Nested
     class Shutdown {
         @Test
