Answer not run where it is known that a job was not stored

What callers saw: 504 where 503 was true, and a call that went on until its time was over. Cause: a refused connection between two entries counted as a call that may have had an effect. And a caller that was answered as undecided stayed in the list of those who wait for its job, so that every repeat was undecided as well, even after the log had refused the append. Ruled out: an append that was really undecided; a batch that only met 503 is taken back. Change: nothing was sent if the connection was refused; a caller that gives up leaves the list.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -1,5 +1,6 @@
 package org.fescueloom.daemon.dispatch;
 
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.EnumSet;
 import java.util.Set;
@@ -161,11 +162,13 @@
 
         private void answered(HttpAnswer answer, Throwable error) {
             if (error != null) {
-                maybeDone |= !method.equals("GET");
+                Throwable reason = Failures.causeOf(error);
+                boolean sent = !(reason instanceof ConnectException);
+                maybeDone |= sent && !method.equals("GET");
                 later(
                         new SchedulerException(
                                 FailureType.NOT_DISPATCHER,
-                                "the dispatcher has not answered: " + Failures.causeOf(error),
+                                "the dispatcher has not answered: " + reason,
                                 RETRY_AFTER_MILLIS));
                 return;
             }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
@@ -89,8 +89,9 @@
         if (waiter.isDone()) {
             return;
         }
-        boolean last = waiters.getOrDefault(id, List.of()).size() == 1;
-        if (last && state.writer().withdraw(JobStore.submissionKey(id))) {
+        List<CompletableFuture<Void>> waiting = waiters.getOrDefault(id, new ArrayList<>());
+        waiting.remove(waiter);
+        if (waiting.isEmpty() && state.writer().withdraw(JobStore.submissionKey(id))) {
             state.jobs().remove(id);
             waiters.remove(id);
             waiter.completeExceptionally(storeDown());
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
@@ -108,6 +108,16 @@
             assertThat(failure(forwarder.submit(job(), 300)).outcome()).isEqualTo(Outcome.NOT_RUN);
         }
 
+        /** Guards against incident 21: a call that nobody had received counted as undecided. */
+        @Test
+        void areNotRunIfTheDispatcherRefusesTheConnection() {
+            serve(call -> new CompletableFuture<>());
+            server.close();
+
+            assertThat(failure(forwarder.submit(job(), 300)).outcome()).isEqualTo(Outcome.NOT_RUN);
+            assertThat(calls.get()).isZero();
+        }
+
         @Test
         void areUnknownAfterAnAttemptWithoutAnAnswer() {
             serve(call -> new CompletableFuture<>());
