Use the last call of a caller while the log is down for all

Cause: a refusal costs nothing where it is given, and a try at the caller. The dispatcher also learned of the return of the store no sooner than its next check, 0.1 s apart. A refused job makes the dispatcher ask the log, so the next try meets what holds now. Before: JobForwarderTest$LogThatIsDownForAll and JobIntakeTest$LogThatWasDown fail.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
@@ -272,13 +272,17 @@
         contact.confirm(sent);
         metrics.timer("store.append")
                 .update(contact.now().steadyMillis() - sent.steadyMillis(), TimeUnit.MILLISECONDS);
+        regained();
+        backoff.reset();
+        endOffset = newEnd;
+        finishBatch();
+    }
+
+    private void regained() {
         if (failingSinceMillis >= 0) {
             EventLog.event("store-regained").field("millis", failingMillis()).info();
             failingSinceMillis = -1;
         }
-        backoff.reset();
-        endOffset = newEnd;
-        finishBatch();
     }
 
     private void finishBatch() {
@@ -299,7 +303,7 @@
         } else if (slice.endOffset() > endOffset) {
             replaced(slice.endOffset());
         } else {
-            failingSinceMillis = -1;
+            regained();
             contact.confirm(sent);
         }
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -34,6 +34,18 @@
 
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
+    /**
+     * A call with less time than this is likely the last one of its caller: a refused caller comes
+     * back after some 0.15 s and a third of what it has left, and not with too little left.
+     */
+    private static final long LAST_CALL_MILLIS = 500;
+
+    /**
+     * The pause between the tries of such a call while the log service is down for all; the log
+     * service answers in some 6 ms.
+     */
+    private static final long LAST_CALL_RETRY_MILLIS = 40;
+
     /** After these a call is worth another try: it names its job, so it has effect only once. */
     private static final Set<FailureType> ANOTHER_MAY_SERVE =
             EnumSet.of(
@@ -105,14 +117,7 @@
     /** Passes a call to the dispatcher, and waits a little if there is none just now. */
     private CompletableFuture<HttpAnswer> forward(
             String method, String path, Object body, long waitMillis) {
-        long patience = Math.min(waitMillis, PATIENCE_MILLIS);
-        Forwarding forwarding =
-                new Forwarding(
-                        method,
-                        path,
-                        body,
-                        Clocks.monotonicMillis() + waitMillis,
-                        Clocks.monotonicMillis() + patience);
+        Forwarding forwarding = new Forwarding(method, path, body, waitMillis);
         forwarding.attempt();
         return forwarding.result;
     }
@@ -123,16 +128,17 @@
         private final String method;
         private final String path;
         private final Object body;
+        private final long started = Clocks.monotonicMillis();
         private final long deadline;
         private final long patienceEnd;
         private boolean maybeDone;
 
-        Forwarding(String method, String path, Object body, long deadline, long patienceEnd) {
+        Forwarding(String method, String path, Object body, long waitMillis) {
             this.method = method;
             this.path = path;
             this.body = body;
-            this.deadline = deadline;
-            this.patienceEnd = patienceEnd;
+            deadline = started + waitMillis;
+            patienceEnd = started + Math.min(waitMillis, PATIENCE_MILLIS);
         }
 
         void attempt() {
@@ -182,19 +188,27 @@
                     new SchedulerException(failure.error(), failure.detail(), RETRY_AFTER_MILLIS);
             boolean downForAll =
                     failure.error() == FailureType.LOG_UNAVAILABLE && reach.get() == Reach.LOG_DOWN;
-            if (ANOTHER_MAY_SERVE.contains(failure.error()) && !downForAll) {
+            if (!ANOTHER_MAY_SERVE.contains(failure.error())) {
+                giveUp(cause);
+            } else if (!downForAll) {
                 later(cause);
+            } else if (deadline - started < LAST_CALL_MILLIS) {
+                later(cause, deadline, LAST_CALL_RETRY_MILLIS);
             } else {
                 giveUp(cause);
             }
         }
 
         private void later(SchedulerException cause) {
+            later(cause, patienceEnd, FORWARD_RETRY_MILLIS);
+        }
+
+        private void later(SchedulerException cause, long until, long pauseMillis) {
             // A call that may have had an effect is worth waiting for: a repeat finds out.
-            long end = maybeDone ? deadline - FORWARD_RETRY_MILLIS : patienceEnd;
-            if (Clocks.monotonicMillis() + FORWARD_RETRY_MILLIS < end) {
+            long end = maybeDone ? deadline - pauseMillis : until;
+            if (Clocks.monotonicMillis() + pauseMillis < end) {
                 metrics.countRetry(cause.type());
-                loop.schedule(this::attempt, FORWARD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+                loop.schedule(this::attempt, pauseMillis, TimeUnit.MILLISECONDS);
             } else {
                 giveUp(cause);
             }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
@@ -51,6 +51,8 @@
             return await(id, waitMillis);
         }
         if (state.writer().failingMillis() > STORE_DOWN_MILLIS) {
+            // The repeat of this call then finds what the log service answers now.
+            state.writer().verify();
             return CompletableFuture.failedFuture(storeDown());
         }
         state.jobs().put(id, new WorkJob(submission));
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
@@ -101,6 +101,39 @@
         }
     }
 
+    @Nested
+    class LogThatIsDownForAll {
+        /** Too little for a caller to come back. */
+        private static final long LITTLE_MILLIS = 250;
+
+        /** Guards against incident 21: the tries of a caller were over before its time was. */
+        @Test
+        void isWaitedForIfTheCallerCannotComeBackInTime() {
+            reach = Reach.LOG_DOWN;
+            serve(
+                    call ->
+                            call == 1
+                                    ? refused(FailureType.LOG_UNAVAILABLE)
+                                    : answered(new JobForwarder.ViewAnswer(JobView.QUEUED)));
+
+            CompletableFuture<Void> accepted = forwarder.submit(job(), LITTLE_MILLIS);
+
+            accepted.orTimeout(TEST_SECONDS, TimeUnit.SECONDS).join();
+            assertThat(calls.get()).isEqualTo(2);
+        }
+
+        @Test
+        void isWaitedForNoLongerThanTheCallerWaits() {
+            reach = Reach.LOG_DOWN;
+            serve(call -> refused(FailureType.LOG_UNAVAILABLE));
+
+            assertThat(failure(forwarder.submit(job(), LITTLE_MILLIS)))
+                    .isEqualTo(FailureType.LOG_UNAVAILABLE);
+            // One try each 40 ms.
+            assertThat(calls.get()).isBetween(2, 6);
+        }
+    }
+
     @Nested
     class Outcomes {
         @Test
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
@@ -115,4 +115,27 @@
             assertThat(second).isCompleted();
         }
     }
+
+    @Nested
+    class LogThatWasDown {
+        /** Guards against incident 21: callers were refused after the log had come back. */
+        @Test
+        void isAskedAgainWhenAJobIsRefused() {
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+            log.onRead(MemoryKeyedLog.Fault.REFUSED);
+            dispatcher.submit(JobSamples.single("first"), WAIT_MILLIS);
+            loop.advance(5_000);
+            log.onAppend(MemoryKeyedLog.Fault.NONE);
+            log.onRead(MemoryKeyedLog.Fault.NONE);
+
+            CompletableFuture<Void> refused =
+                    dispatcher.submit(JobSamples.single("j"), WAIT_MILLIS);
+            loop.advance(0);
+            assertThat(failure(refused)).isEqualTo(FailureType.LOG_UNAVAILABLE);
+            CompletableFuture<Void> repeat = dispatcher.submit(JobSamples.single("j"), WAIT_MILLIS);
+            loop.advance(0);
+
+            assertThat(repeat).isCompleted();
+        }
+    }
 }
