End the pause between appends once the log answers a check

Cause: appends that were refused wait for a back-off of up to 0.4 s. A check in between found the log well and said so in the log, but left the pause as it was; new jobs waited behind it. Change: a check that succeeds ends the pause and writes what waits; each new job asks while the log fails. Before: JobIntakeTest$LogThatWasDown#isWrittenToAsSoonAsItAnswers fails.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
@@ -223,13 +223,12 @@
         waitingActions = actions;
         batch = null;
         pausing = true;
-        loop.schedule(
-                () -> {
-                    pausing = false;
-                    flush();
-                },
-                backoff.nextMillis(),
-                TimeUnit.MILLISECONDS);
+        loop.schedule(this::endPause, backoff.nextMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void endPause() {
+        pausing = false;
+        flush();
     }
 
     /** Finds out whether the records at the expected end are those of a lost answer. */
@@ -305,6 +304,8 @@
         } else {
             regained();
             contact.confirm(sent);
+            backoff.reset();
+            endPause();
         }
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
@@ -50,9 +50,11 @@
         if (waiters.containsKey(id)) {
             return await(id, waitMillis);
         }
-        if (state.writer().failingMillis() > STORE_DOWN_MILLIS) {
-            // The repeat of this call then finds what the log service answers now.
+        if (state.writer().failingMillis() > 0) {
+            // This job, or the next try for it, then finds what the log service answers now.
             state.writer().verify();
+        }
+        if (state.writer().failingMillis() > STORE_DOWN_MILLIS) {
             return CompletableFuture.failedFuture(storeDown());
         }
         state.jobs().put(id, new WorkJob(submission));
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
@@ -137,5 +137,31 @@
 
             assertThat(repeat).isCompleted();
         }
+
+        /** Guards against incident 21: jobs waited for a pause after the log had come back. */
+        @Test
+        void isWrittenToAsSoonAsItAnswers() {
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+            log.onRead(MemoryKeyedLog.Fault.REFUSED);
+            dispatcher.submit(JobSamples.single("first"), 20 * WAIT_MILLIS);
+            for (int i = 0; i < 20; i++) {
+                loop.advance(WAIT_MILLIS / 2);
+                log.onAppend(MemoryKeyedLog.Fault.NONE);
+                log.onRead(MemoryKeyedLog.Fault.NONE);
+                String id = "job-" + i;
+                dispatcher.submit(JobSamples.single(id), WAIT_MILLIS);
+                loop.advance(0);
+
+                CompletableFuture<Void> repeat =
+                        dispatcher.submit(JobSamples.single(id), WAIT_MILLIS);
+                loop.advance(0);
+
+                assertThat(repeat).as(id).isCompleted();
+                log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+                log.onRead(MemoryKeyedLog.Fault.REFUSED);
+                dispatcher.submit(JobSamples.single("next-" + i), 20 * WAIT_MILLIS);
+                loop.advance(2 * WAIT_MILLIS);
+            }
+        }
     }
 }
