Start no try for a job that has no time for an answer

Cause: the last of the repeated tries began a few milliseconds before the time was over, and its answer, a refusal, came too late to be heard. Ruled out: an append in flight; the dispatcher refuses at once while the store is down. Change: the last try begins 40 ms before the time is over at the latest. Before: JobForwarderTest$LogThatIsDownForAll#isNotAskedWithoutTimeForAnAnswer fails (OUTCOME_UNKNOWN).

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -193,7 +193,8 @@
             } else if (!downForAll) {
                 later(cause);
             } else if (deadline - started < LAST_CALL_MILLIS) {
-                later(cause, deadline, LAST_CALL_RETRY_MILLIS);
+                // A try that is cut short would leave the outcome unknown.
+                later(cause, deadline - LAST_CALL_RETRY_MILLIS, LAST_CALL_RETRY_MILLIS);
             } else {
                 giveUp(cause);
             }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobForwarderTest.java
@@ -132,6 +132,20 @@
             // One try each 40 ms.
             assertThat(calls.get()).isBetween(2, 6);
         }
+
+        /** Guards against incident 21: a last try without time for an answer was undecided. */
+        @Test
+        void isNotAskedWithoutTimeForAnAnswer() {
+            reach = Reach.LOG_DOWN;
+            serve(
+                    call ->
+                            call == 1
+                                    ? refused(FailureType.LOG_UNAVAILABLE)
+                                    : new CompletableFuture<>());
+
+            assertThat(failure(forwarder.submit(job(), 70))).isEqualTo(FailureType.LOG_UNAVAILABLE);
+            assertThat(calls.get()).isEqualTo(1);
+        }
     }
 
     @Nested
