--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryLog.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryLog.java
@@ -18,6 +18,7 @@
 
     private final KeyedLog log;
     private volatile boolean closed;
+    private volatile boolean claimsRefused;
 
     EntryLog(KeyedLog log) {
         this.log = log;
@@ -28,10 +29,17 @@
         closed = all;
     }
 
+    /** Refuses appends with a condition from now on, or none, so that no entry can dispatch. */
+    void refuseClaims(boolean all) {
+        claimsRefused = all;
+    }
+
     @Override
     public CompletableFuture<AppendOutcome> append(
             String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
-        return unlessClosed(() -> log.append(topic, records, expectedEnd, timeout));
+        return claimsRefused && expectedEnd != ANY_END
+                ? refused()
+                : unlessClosed(() -> log.append(topic, records, expectedEnd, timeout));
     }
 
     @Override
@@ -52,10 +60,12 @@
     }
 
     private <T> CompletableFuture<T> unlessClosed(Supplier<CompletableFuture<T>> call) {
-        return closed
-                ? CompletableFuture.failedFuture(
-                        new SchedulerException(FailureType.LOG_UNAVAILABLE, "closed by the test"))
-                : call.get();
+        return closed ? refused() : call.get();
+    }
+
+    private static <T> CompletableFuture<T> refused() {
+        return CompletableFuture.failedFuture(
+                new SchedulerException(FailureType.LOG_UNAVAILABLE, "refused by the test"));
     }
 
     private static <T> CompletableFuture<T> later(Supplier<CompletableFuture<T>> call) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -15,6 +15,7 @@
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.fleet.FleetConfiguration;
 import org.fescueloom.fleet.QueuePolicy;
+import org.fescueloom.work.JobView;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -245,6 +246,60 @@
         }
     }
 
+    @Nested
+    class NobodyDispatches {
+        @BeforeEach
+        void endTheDispatcher() throws InterruptedException {
+            Entry first = dispatcher();
+            await(() -> entries.stream().allMatch(e -> e.node.ready()));
+            entries.forEach(e -> e.ownLog.refuseClaims(true));
+            entries.remove(first);
+            first.kill();
+        }
+
+        private void letOneDispatch() throws InterruptedException {
+            assertThat(entries).noneMatch(e -> e.node.dispatches());
+            entries.forEach(e -> e.ownLog.refuseClaims(false));
+            dispatcher();
+        }
+
+        private JobView view(Entry entry, String id) {
+            return entry.node
+                    .jobApi()
+                    .view(id, WAIT_SECONDS * 1_000)
+                    .exceptionally(error -> null)
+                    .join();
+        }
+
+        /** Guards against incident 24: jobs were lost while entries chose a dispatcher. */
+        @Test
+        void jobsAreAccepted() throws InterruptedException {
+            for (int i = 0; i < 4; i++) {
+                assertThat(accepts(entries.get(i % 2), "job-" + i)).isTrue();
+            }
+
+            letOneDispatch();
+
+            for (int i = 0; i < 4; i++) {
+                Entry entry = entries.get(i % 2);
+                String id = "job-" + i;
+                await(() -> view(entry, id) == JobView.QUEUED);
+            }
+        }
+
+        /** Guards against incident 24: cancels were not answered while entries chose. */
+        @Test
+        void jobsAreCancelled() throws InterruptedException {
+            JobApi jobs = entries.get(0).node.jobApi();
+            assertThat(accepts(entries.get(1), "job")).isTrue();
+            assertThat(jobs.cancel("job", 2_500).exceptionally(error -> false).join()).isTrue();
+
+            letOneDispatch();
+
+            await(() -> view(entries.get(1), "job") == JobView.CANCELLED);
+        }
+    }
+
     @Nested
     class Shutdown {
         @Test
