Tell calls of which nothing was sent from those without an answer

Cause: a connection that was not opened in time ends with the same exception as an answer that did not come in time. Change: HttpClient notes when the first byte of a request is about to be sent, and fails with ConnectException before that. Measured: HttpClientTest$CallsWithoutAnAnswer#wereNotSentIfNoConnectionWasOpened fails without the mark (SocketTimeoutException).

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
@@ -1,17 +1,20 @@
 package org.fescueloom.daemon.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Proxy;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.ConnectionPool;
 import okhttp3.ConnectionSpec;
 import okhttp3.Dispatcher;
+import okhttp3.EventListener;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -67,6 +70,7 @@
                         .writeTimeout(Duration.ZERO)
                         // Without TLS no trust store is loaded, which takes a good part of a start.
                         .connectionSpecs(List.of(ConnectionSpec.CLEARTEXT))
+                        .eventListener(new SentMark())
                         .proxy(Proxy.NO_PROXY)
                         .retryOnConnectionFailure(false)
                         .followRedirects(false)
@@ -92,11 +96,13 @@
      *
      * @param request the request, not null
      * @param timeout the longest time until the whole answer is here, not null
-     * @return a future of the whole answer; it fails with an {@link IOException} if none came; to
-     *     cancel the future ends the call
+     * @return a future of the whole answer; it fails with a {@link ConnectException} if nothing of
+     *     the request was sent, and with another {@link IOException} if no answer came; to cancel
+     *     the future ends the call
      */
     public CompletableFuture<HttpAnswer> send(Request request, Duration timeout) {
-        Call call = client.newCall(request);
+        AtomicBoolean sent = new AtomicBoolean();
+        Call call = client.newCall(request.newBuilder().tag(AtomicBoolean.class, sent).build());
         call.timeout().timeout(timeout.toNanos(), TimeUnit.NANOSECONDS);
         CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
         answer.whenComplete(
@@ -105,7 +111,7 @@
                         call.cancel();
                     }
                 });
-        call.enqueue(new AnswerCallback(answer));
+        call.enqueue(new AnswerCallback(answer, sent));
         return answer;
     }
 
@@ -122,10 +128,26 @@
         client.connectionPool().evictAll();
     }
 
-    private record AnswerCallback(CompletableFuture<HttpAnswer> answer) implements Callback {
+    /** Notes on each request when the first byte of it is about to be sent. */
+    private static final class SentMark extends EventListener {
+        @Override
+        public void requestHeadersStart(Call call) {
+            call.request().tag(AtomicBoolean.class).set(true);
+        }
+    }
+
+    private record AnswerCallback(CompletableFuture<HttpAnswer> answer, AtomicBoolean sent)
+            implements Callback {
         @Override
         public void onFailure(Call call, IOException e) {
-            answer.completeExceptionally(e);
+            boolean named = sent.get() || e instanceof ConnectException;
+            answer.completeExceptionally(named ? e : neverSent(e));
+        }
+
+        private static ConnectException neverSent(IOException cause) {
+            ConnectException failure = new ConnectException("nothing was sent: " + cause);
+            failure.initCause(cause);
+            return failure;
         }
 
         @Override
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/http/HttpClientTest.java
@@ -0,0 +1,87 @@
+package org.fescueloom.daemon.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.fescueloom.failure.Failures;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class HttpClientTest {
+    private static final Duration TIMEOUT = Duration.ofMillis(400);
+    private static final long TEST_SECONDS = 20;
+
+    private final HttpClient http = new HttpClient(4, Duration.ofMillis(200));
+    private final List<Socket> clients = new ArrayList<>();
+
+    @AfterEach
+    void close() throws IOException {
+        http.close();
+        for (Socket client : clients) {
+            client.close();
+        }
+    }
+
+    private Throwable failure(int port) {
+        return http.send(
+                        HttpClient.request("POST", "127.0.0.1:" + port, "/", List.of()).build(),
+                        TIMEOUT)
+                .handle((answer, error) -> error == null ? null : Failures.causeOf(error))
+                .orTimeout(TEST_SECONDS, TimeUnit.SECONDS)
+                .join();
+    }
+
+    /** Fills the queue of connections, so that the next one is not answered. */
+    private void fill(ServerSocket server) throws IOException {
+        for (int i = 0; i < 4; i++) {
+            Socket client = new Socket();
+            clients.add(client);
+            try {
+                client.connect(server.getLocalSocketAddress(), 100);
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    @Nested
+    class CallsWithoutAnAnswer {
+        /** Guards against incident 24: a call to a machine that was gone counted as sent. */
+        @Test
+        void wereNotSentIfNoConnectionWasOpened() throws IOException {
+            try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                fill(server);
+
+                assertThat(failure(server.getLocalPort())).isInstanceOf(ConnectException.class);
+            }
+        }
+
+        @Test
+        void wereNotSentIfTheConnectionWasRefused() throws IOException {
+            int port;
+            try (ServerSocket server = new ServerSocket(0)) {
+                port = server.getLocalPort();
+            }
+
+            assertThat(failure(port)).isInstanceOf(ConnectException.class);
+        }
+
+        @Test
+        void mayHaveBeenReceivedOnceAConnectionWasOpened() throws IOException {
+            try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+                assertThat(failure(server.getLocalPort()))
+                        .isInstanceOf(IOException.class)
+                        .isNotInstanceOf(ConnectException.class);
+            }
+        }
+    }
+}
