Let every entry store what its callers hand in and cancel

In an outage the first refusal took 1.15 to 1.18 s. Cause: only the dispatcher, one elected process, could store a job. Change: entries append submissions and cancellations without a condition to a log of their own; the dispatcher follows it, copies each job to the log of jobs, which it writes as before, and removes it from the first. An entry that the store refuses asks others. What may be stored is never said not to have run; "no such job" is said after a read and a proof of the claim. DispatcherTest$Accepting and the old JobIntakeTest asked the dispatcher to accept, which it no longer does; the same promises (answer only once stored, "not run" only if it is true, at once while the log is down, one job for all repeats, last calls) are checked in IntakeWriterTest and JobIntakeTest, and in 300 random histories with replaced dispatchers, late appends and dropped history in IntakeHistoriesTest. JobForwarderTest keeps its cases for questions; those for jobs moved to IntakeWriterTest. FailedJobLogTest waits for job-taken-up, which has the epoch.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
@@ -65,7 +65,10 @@
 
     private CompletableFuture<Result> load(long epoch, StoreContact.Moment sent) {
         return JobStore.load(log)
-                .thenApply(content -> new Result.Won(new Dispatcher.Start(epoch, sent, content)));
+                .thenCombine(
+                        KeyedContent.read(log, IntakeItem.TOPIC),
+                        (jobs, intake) ->
+                                new Result.Won(new Dispatcher.Start(epoch, sent, jobs, intake)));
     }
 
     /** Looks for the newest claim among the records that were appended behind an offset. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -19,11 +19,9 @@
 import org.fescueloom.schedule.SchedulePlan;
 import org.fescueloom.schedule.TaskScheduler;
 import org.fescueloom.schedule.WaitingUnit;
-import org.fescueloom.work.JobPhase;
 import org.fescueloom.work.JobView;
 import org.fescueloom.work.Placement;
 import org.fescueloom.work.RunEnd;
-import org.fescueloom.work.Submission;
 import org.fescueloom.work.TaskKey;
 import org.fescueloom.work.TaskRecord;
 import org.fescueloom.work.WorkJob;
@@ -62,8 +60,13 @@
      *     dispatchers
      * @param claimed when the claim was sent
      * @param content all that is kept
+     * @param intake what the entries have stored and no dispatcher has taken up
      */
-    record Start(long epoch, StoreContact.Moment claimed, JobStore.Content content) {}
+    record Start(
+            long epoch,
+            StoreContact.Moment claimed,
+            JobStore.Content content,
+            KeyedContent intake) {}
 
     Dispatcher(
             Start start,
@@ -85,7 +88,7 @@
                         start.epoch(), start.content(), terms, fleet, contact, writer, metrics);
         orders = new OrderIssuer(state, entries);
         runs = new RunTracker(state, orders);
-        intake = new JobIntake(state, loop, this::plan);
+        intake = new JobIntake(state, runs, log, start.intake(), loop, this::plan);
         stuckRuns = new StuckRuns(state);
         state.restoreRuns();
         state.forgetOldSpeeds();
@@ -98,10 +101,11 @@
 
     /** Starts the regular work. */
     void start() {
+        intake.start();
         loop.schedule(this::tick, 0, TimeUnit.MILLISECONDS);
     }
 
-    /** Ends all work; callers that wait are told that the outcome is not known. */
+    /** Ends all work. */
     void close() {
         if (!closed) {
             closed = true;
@@ -111,30 +115,14 @@
         }
     }
 
-    /** Accepts a job; the future completes once it is stored. */
-    CompletableFuture<Void> submit(Submission submission, long waitMillis) {
-        return intake.submit(submission, waitMillis);
+    /** Tells whether a job is known to be stored. */
+    boolean knows(String id) {
+        return state.storedViews().containsKey(id);
     }
 
     /** Returns the state of a job as it is stored. */
-    JobView view(String id) {
-        return state.storedViews().getOrDefault(id, JobView.UNKNOWN);
-    }
-
-    /** Cancels a job; the future tells whether there is such a job, once that is stored. */
-    CompletableFuture<Boolean> cancel(String id) {
-        WorkJob job = state.jobs().get(id);
-        if (job == null) {
-            return CompletableFuture.completedFuture(false);
-        }
-        if (!job.phase().ended()) {
-            runs.end(job, JobPhase.CANCELLED);
-            state.changed(job);
-        }
-        CompletableFuture<Boolean> stored = new CompletableFuture<>();
-        state.writer().whenStored(() -> stored.complete(true));
-        state.writer().flush();
-        return stored;
+    CompletableFuture<JobView> view(String id) {
+        return intake.view(id);
     }
 
     /** Counts the accepted jobs of a queue that have not begun. */
@@ -178,6 +166,7 @@
         if (state.contact().ageMillis() > PROOF_AGE_MILLIS) {
             state.writer().verify();
         }
+        intake.tick(now);
         forgetOldJobs();
         plan();
         state.writer().flush();
@@ -202,7 +191,10 @@
         long before = state.dateMillis() - state.terms().keepEndedMillis();
         List<String> old = new ArrayList<>();
         for (WorkJob job : state.jobs().values()) {
-            if (job.phase().ended() && job.endedAtMillis() < before && job.assigned().isEmpty()) {
+            if (job.phase().ended()
+                    && job.endedAtMillis() < before
+                    && job.assigned().isEmpty()
+                    && !intake.holds(job.submission().id())) {
                 old.add(job.submission().id());
             }
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatcherRoutes.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatcherRoutes.java
@@ -6,8 +6,6 @@
 import org.fescueloom.daemon.http.HttpCall;
 import org.fescueloom.daemon.http.HttpReply;
 import org.fescueloom.daemon.http.HttpServer;
-import org.fescueloom.work.JobView;
-import org.fescueloom.work.Submission;
 
 /** Takes the calls of entries and agents for the dispatcher, and says so if there is none here. */
 final class DispatcherRoutes {
@@ -27,34 +25,13 @@
 
     void routes(HttpServer server) {
         server.route("POST", "/agent/report", this::report);
-        server.route("POST", "/jobs/{id}", this::submit);
         server.route("GET", "/jobs/{id}", this::view);
-        server.route("DELETE", "/jobs/{id}", this::cancel);
         server.route("GET", "/queues/{queue}/pending", this::pending);
     }
 
-    private CompletableFuture<HttpReply> submit(HttpCall call) {
-        Submission submission = call.read(Submission.class);
-        long wait = call.queryLong("wait", JobForwarder.PATIENCE_MILLIS);
-        return here(
-                d ->
-                        d.submit(submission, wait)
-                                .thenApply(
-                                        v ->
-                                                HttpReply.json(
-                                                        new JobForwarder.ViewAnswer(
-                                                                JobView.QUEUED))));
-    }
-
     private CompletableFuture<HttpReply> view(HttpCall call) {
         String id = call.path("id");
-        return here(d -> EntryNode.done(new JobForwarder.ViewAnswer(d.view(id))));
-    }
-
-    private CompletableFuture<HttpReply> cancel(HttpCall call) {
-        String id = call.path("id");
-        return here(
-                d -> d.cancel(id).thenApply(k -> HttpReply.json(new JobForwarder.CancelAnswer(k))));
+        return here(d -> d.view(id).thenApply(v -> HttpReply.json(new JobForwarder.ViewAnswer(v))));
     }
 
     private CompletableFuture<HttpReply> pending(HttpCall call) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -14,6 +15,7 @@
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Failures;
+import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.log.Backoff;
 
 /**
@@ -48,6 +50,7 @@
     private Batch batch;
     private long endOffset;
     private long failingSinceMillis = -1;
+    private final List<Proof> proofs = new ArrayList<>();
     private boolean verifying;
     private boolean undecided;
     private boolean pausing;
@@ -65,6 +68,14 @@
             Map<String, Supplier<byte[]>> values,
             List<Runnable> actions) {}
 
+    /**
+     * Waits for an answer to a call that was sent after a moment.
+     *
+     * @param after the moment
+     * @param proved is completed by such an answer
+     */
+    private record Proof(StoreContact.Moment after, CompletableFuture<Void> proved) {}
+
     /**
      * Creates a writer.
      *
@@ -140,6 +151,22 @@
                         loop);
     }
 
+    /**
+     * Proves that nobody else has written at some moment after this call.
+     *
+     * @return a future that fails if records of others are found, or the log service fails
+     */
+    CompletableFuture<Void> prove() {
+        CompletableFuture<Void> proved = new CompletableFuture<>();
+        if (closed) {
+            proved.completeExceptionally(Dispatcher.notDispatcher());
+            return proved;
+        }
+        proofs.add(new Proof(contact.now(), proved));
+        verify();
+        return proved;
+    }
+
     /** Returns for how long the log service has failed, in milliseconds; 0 if it answers. */
     long failingMillis() {
         return failingSinceMillis < 0 ? 0 : contact.now().steadyMillis() - failingSinceMillis;
@@ -148,6 +175,31 @@
     /** Writes nothing any more. */
     void close() {
         closed = true;
+        failProofs(Dispatcher.notDispatcher());
+    }
+
+    /** Completes the proofs that a call which was sent at a moment gives; begins one for others. */
+    private void completeProofs(StoreContact.Moment sent) {
+        List<Proof> given =
+                proofs.stream()
+                        .filter(p -> p.after().steadyMillis() <= sent.steadyMillis())
+                        .toList();
+        proofs.removeAll(given);
+        given.forEach(p -> p.proved().complete(null));
+        if (!proofs.isEmpty()) {
+            verify();
+        }
+    }
+
+    private static SchedulerException logFails(Throwable error) {
+        return new SchedulerException(
+                FailureType.LOG_UNAVAILABLE, "the log does not answer: " + Failures.causeOf(error));
+    }
+
+    private void failProofs(SchedulerException reason) {
+        List<Proof> all = List.copyOf(proofs);
+        proofs.clear();
+        all.forEach(p -> p.proved().completeExceptionally(reason));
     }
 
     private Batch nextBatch() {
@@ -197,6 +249,7 @@
         FailureType type = Failures.typeOf(error);
         metrics.countRetry(type);
         noteLost(sent, error);
+        failProofs(logFails(error));
         undecided |= type != FailureType.LOG_UNAVAILABLE;
         if (undecided) {
             loop.schedule(this::send, backoff.nextMillis(), TimeUnit.MILLISECONDS);
@@ -275,6 +328,7 @@
         backoff.reset();
         endOffset = newEnd;
         finishBatch();
+        completeProofs(sent);
     }
 
     private void regained() {
@@ -299,6 +353,7 @@
             if (contact.confirmedBefore(sent)) {
                 noteLost(sent, error);
             }
+            failProofs(logFails(error));
         } else if (slice.endOffset() > endOffset) {
             replaced(slice.endOffset());
         } else {
@@ -306,6 +361,7 @@
             contact.confirm(sent);
             backoff.reset();
             endPause();
+            completeProofs(sent);
         }
     }
 
@@ -314,7 +370,7 @@
                 .field("end", endOffset)
                 .field("found", foundEnd)
                 .warn();
-        closed = true;
+        close();
         deposed.run();
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.UUID;
@@ -19,7 +18,6 @@
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.Failures;
-import org.fescueloom.json.Json;
 
 /**
  * Takes part in the election of the dispatcher and passes calls to it.
@@ -29,9 +27,6 @@
  * breaks no promise: the log refuses the appends of the one that was replaced.
  */
 public final class EntryNode {
-    /** The topic in which entries tell where they are reached. */
-    static final String ENTRIES_TOPIC = "keyed.entries";
-
     private static final long TICK_MILLIS = 50;
 
     /** How often the dispatcher is asked whether it lives. */
@@ -61,7 +56,8 @@
     private final FleetExchange fleetExchange;
     private final Metrics metrics;
     private final HttpClient http = new HttpClient(MAX_CALLS, CONNECT_TIMEOUT);
-    private final JobForwarder forwarder;
+    private final IntakeWriter intake;
+    private final JobApi calls;
     private final StoreContact clocks = StoreContact.onSystemClocks();
     private final Candidacy candidacy;
     private final Set<String> entries = new TreeSet<>();
@@ -74,7 +70,6 @@
     private String replaced = "";
     private Suspicion suspicion = Suspicion.SILENT;
     private volatile boolean leaving;
-    private boolean registered;
 
     /**
      * Creates an entry that does not take part yet.
@@ -102,7 +97,11 @@
         this.follower = follower;
         this.metrics = metrics;
         fleetExchange = new FleetExchange(follower, http, this::sayHello, loop);
-        forwarder = new JobForwarder(http, () -> leader, fleetExchange::reach, loop, metrics);
+        intake = new IntakeWriter(log, http, neighbours(), loop, clocks, metrics);
+        calls =
+                new JobCalls(
+                        intake,
+                        new JobForwarder(http, () -> leader, fleetExchange::reach, loop, metrics));
         DispatchClaim claim = new DispatchClaim(address, process);
         candidacy =
                 new Candidacy(
@@ -127,12 +126,13 @@
         server.route("GET", "/peer/fleet", call -> done(follower.copy()));
         server.route("GET", "/agent/dispatcher", call -> onLoop(this::myHello));
         new DispatcherRoutes(() -> dispatcher, loop).routes(server);
+        new IntakeRoutes(intake).routes(server);
     }
 
     /** Starts to take part. */
     public void start() {
         leaderHeardMillis = now() - SUSPECT_MILLIS;
-        findEntries();
+        new EntryDirectory(log, address, process, loop, entries::add).start();
         loop.schedule(this::tick, 0, TimeUnit.MILLISECONDS);
     }
 
@@ -177,23 +177,30 @@
     /**
      * Tells whether calls can be served.
      *
-     * @return whether the configuration is known, the dispatcher was heard of, and the log service
-     *     or another entry has answered lately
+     * @return whether the configuration is known and the log service or another entry has answered
+     *     lately
      */
     public boolean ready() {
         return !leaving
                 && follower.view().configuration() != null
-                && !leader.isEmpty()
                 && fleetExchange.reach() != Reach.CUT_OFF;
     }
 
     /**
-     * Returns the interface that passes calls to the dispatcher, wherever it is.
+     * Returns the interface that stores what callers hand in and asks the dispatcher for states.
      *
      * @return the interface, never null
      */
     public JobApi jobApi() {
-        return forwarder;
+        return calls;
+    }
+
+    private IntakeWriter.Neighbours neighbours() {
+        return new IntakeWriter.Neighbours(
+                follower::failing,
+                fleetExchange::reach,
+                () -> fleetExchange.alive(leader, others()),
+                job -> dispatcher != null && dispatcher.knows(job));
     }
 
     /** Answers a call at once. */
@@ -458,32 +465,6 @@
         }
     }
 
-    /** Tells the others where this entry is, and learns where they are. */
-    private void findEntries() {
-        KeyedRecord mine = new KeyedRecord(address, Json.write(Map.of("process", process)));
-        log.newest(ENTRIES_TOPIC, "")
-                .thenCompose(
-                        page -> {
-                            page.records().forEach(r -> loop.execute(() -> entries.add(r.key())));
-                            return registered
-                                    ? CompletableFuture.completedFuture(null)
-                                    : log.append(
-                                            ENTRIES_TOPIC,
-                                            List.of(mine),
-                                            KeyedLog.ANY_END,
-                                            HELLO_TIMEOUT);
-                        })
-                .whenCompleteAsync(
-                        (outcome, error) -> {
-                            if (error == null) {
-                                registered = true;
-                            } else {
-                                loop.schedule(this::findEntries, 1, TimeUnit.SECONDS);
-                            }
-                        },
-                        loop);
-    }
-
     private long now() {
         return clocks.now().steadyMillis();
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetExchange.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetExchange.java
@@ -35,6 +35,9 @@
     /** Without an answer of any entry to three rounds of questions this one counts as cut off. */
     private static final long CUT_OFF_MILLIS = 1_000;
 
+    /** The dispatcher is heard each 400 ms, and others are asked each 300 ms in an outage. */
+    private static final long ALIVE_MILLIS = 1_500;
+
     /** How long the word of another entry counts that the log service serves it. */
     private static final long SERVED_MILLIS = 1_000;
 
@@ -75,12 +78,12 @@
                 askingSinceMillis = now;
             }
             askedMillis = now;
-            chosen(leader, others).forEach(ask);
+            nearest(leader, others).forEach(ask);
         }
     }
 
     /** Chooses the dispatcher, who was heard of last, and any other, who may be a new one. */
-    private List<String> chosen(String leader, List<String> others) {
+    private List<String> nearest(String leader, List<String> others) {
         List<String> ranked = new ArrayList<>(others);
         Collections.shuffle(ranked);
         ranked.sort(Comparator.comparingLong(peer -> -heardMillis.getOrDefault(peer, 0L)));
@@ -94,6 +97,14 @@
         return ranked.subList(0, Math.min(MAX_ASKED, ranked.size()));
     }
 
+    /** Chooses like {@link #nearest}, but only entries that were heard of lately. */
+    List<String> alive(String leader, List<String> others) {
+        long since = now() - ALIVE_MILLIS;
+        return nearest(leader, others).stream()
+                .filter(peer -> heardMillis.getOrDefault(peer, Long.MIN_VALUE) >= since)
+                .toList();
+    }
+
     /** Takes note of what another entry said of itself. */
     void heard(PeerHello hello) {
         heardMillis.put(hello.address(), now());
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -1,7 +1,6 @@
 package org.fescueloom.daemon.dispatch;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,7 +8,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.fescueloom.daemon.logging.EventLog;
@@ -167,7 +165,8 @@
         }
         settled = false;
         StoreContact.Moment sent = contact.now();
-        readPages("", new ArrayList<>(), -1)
+        KeyedContent.read(log, topic)
+                .thenApply(read -> new FleetCopy(read.offset(), read.records()))
                 .whenCompleteAsync(
                         (read, error) -> {
                             if (error != null) {
@@ -184,23 +183,6 @@
                         loop);
     }
 
-    private CompletableFuture<FleetCopy> readPages(
-            String afterKey, List<KeyedRecord> records, long firstEnd) {
-        return log.newest(topic, afterKey)
-                .thenCompose(
-                        page -> {
-                            records.addAll(page.records());
-                            // Pages are no snapshot: reading goes on from where the first one was.
-                            long end = firstEnd < 0 ? page.endOffset() : firstEnd;
-                            if (!page.more() || page.records().isEmpty()) {
-                                return CompletableFuture.completedFuture(
-                                        new FleetCopy(end, records));
-                            }
-                            List<KeyedRecord> last = page.records();
-                            return readPages(last.get(last.size() - 1).key(), records, end);
-                        });
-    }
-
     private void readOn() {
         if (closed) {
             return;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
@@ -1,129 +1,250 @@
 package org.fescueloom.daemon.dispatch;
 
-import java.util.ArrayList;
+import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.work.JobPhase;
 import org.fescueloom.work.JobView;
 import org.fescueloom.work.StepSpec;
 import org.fescueloom.work.Submission;
 import org.fescueloom.work.WorkJob;
 import org.fescueloom.work.WorkSpec;
 
-/** Accepts jobs, and answers their callers once that is stored. */
+/**
+ * Takes up what the entries have stored for callers.
+ *
+ * <p>The first submission of an identifier holds: it is copied to the log of jobs, which only the
+ * dispatcher writes, together with the first change of the job or before. What was taken up is then
+ * removed from the log of the entries. A cancellation that comes before its job is kept until no
+ * append of that job can still be executed. Confined to the thread of the dispatcher.
+ */
 final class JobIntake {
-    /** A log service that has failed for this long is down: new jobs are refused at once. */
-    private static final long STORE_DOWN_MILLIS = 700;
+    /** How often what was taken up is removed; one call removes all of it. */
+    private static final long TRIM_MILLIS = 5_000;
+
+    /** One call stays below the 2 MiB that the log service takes; a removal has some 24 bytes. */
+    private static final int MAX_TRIMMED = 10_000;
 
     private static final long RETRY_MILLIS = 1_000;
 
+    private static final Duration TRIM_TIMEOUT = Duration.ofMillis(900);
+
     private final DispatchState state;
+    private final RunTracker runs;
+    private final KeyedLog log;
     private final ScheduledExecutorService loop;
-    private final Runnable onAccepted;
-    private final Map<String, List<CompletableFuture<Void>>> waiters = new HashMap<>();
+    private final Runnable onChange;
+    private final KeyedContent start;
+    private final IntakeFollower follower;
+    private final Set<String> taken = new LinkedHashSet<>();
+    private final Map<String, Long> cancelledEarly = new HashMap<>();
+    private long trimmedMillis;
+    private boolean trimming;
+    private boolean closed;
 
     /**
      * Creates an intake.
      *
      * @param state what the parts of the dispatcher share
+     * @param runs ends the jobs that are cancelled
+     * @param log the log service
+     * @param start what the entries had stored when the dispatcher began
      * @param loop the thread of the dispatcher
-     * @param onAccepted runs after a job was stored
+     * @param onChange runs after jobs were taken up or cancelled
      */
-    JobIntake(DispatchState state, ScheduledExecutorService loop, Runnable onAccepted) {
+    JobIntake(
+            DispatchState state,
+            RunTracker runs,
+            KeyedLog log,
+            KeyedContent start,
+            ScheduledExecutorService loop,
+            Runnable onChange) {
         this.state = state;
+        this.runs = runs;
+        this.log = log;
+        this.start = start;
         this.loop = loop;
-        this.onAccepted = onAccepted;
+        this.onChange = onChange;
+        follower = new IntakeFollower(log, start.offset(), loop, state.metrics(), this::take);
     }
 
-    /** Accepts a job; the future completes once it is stored. */
-    CompletableFuture<Void> submit(Submission submission, long waitMillis) {
-        String id = submission.id();
+    /** Takes up what was stored before, and begins to follow. */
+    void start() {
+        take(start.records());
+        follower.start();
+    }
+
+    /** Takes up nothing any more. */
+    void close() {
+        closed = true;
+        follower.close();
+    }
+
+    /**
+     * Returns the state of a job.
+     *
+     * <p>That there is no such job is told only after everything that was stored before this call
+     * has been read, and after the claim of this dispatcher has been proved since: another
+     * dispatcher may have taken up the job, and have removed it from the log of the entries.
+     */
+    CompletableFuture<JobView> view(String id) {
         if (state.storedViews().containsKey(id)) {
-            return CompletableFuture.completedFuture(null);
-        }
-        if (waiters.containsKey(id)) {
-            return await(id, waitMillis);
+            return CompletableFuture.completedFuture(state.storedViews().get(id));
         }
-        if (state.writer().failingMillis() > 0) {
-            // This job, or the next try for it, then finds what the log service answers now.
-            state.writer().verify();
+        return follower.catchUp()
+                .thenComposeAsync(
+                        v ->
+                                state.storedViews().containsKey(id)
+                                        ? CompletableFuture.<Void>completedFuture(null)
+                                        : state.writer().prove(),
+                        loop)
+                .handleAsync(
+                        (v, error) -> {
+                            if (error != null) {
+                                throw notReadable(error);
+                            }
+                            return state.storedViews().getOrDefault(id, JobView.UNKNOWN);
+                        },
+                        loop);
+    }
+
+    private static SchedulerException notReadable(Throwable error) {
+        SchedulerException failure = Failures.of(error);
+        return failure.type() == FailureType.NOT_DISPATCHER
+                ? failure
+                : new SchedulerException(
+                        FailureType.LOG_UNAVAILABLE,
+                        "the jobs that are stored cannot be read",
+                        RETRY_MILLIS,
+                        failure);
+    }
+
+    /** Tells whether what a caller has stored of a job is still to be removed. */
+    boolean holds(String id) {
+        return taken.contains(IntakeKind.SUBMISSION.key(id));
+    }
+
+    /** Removes from time to time what was taken up. */
+    void tick(long now) {
+        if (closed || trimming || now - trimmedMillis < TRIM_MILLIS) {
+            return;
         }
-        if (state.writer().failingMillis() > STORE_DOWN_MILLIS) {
-            return CompletableFuture.failedFuture(storeDown());
+        forgetEarlyCancellations(now);
+        if (!taken.isEmpty()) {
+            trimmedMillis = now;
+            trim(taken.stream().limit(MAX_TRIMMED).toList());
         }
-        state.jobs().put(id, new WorkJob(submission));
-        waiters.put(id, new ArrayList<>());
-        state.writer().put(JobStore.submissionKey(id), () -> JobStore.write(submission));
-        state.writer().whenStored(() -> stored(id));
-        CompletableFuture<Void> accepted = await(id, waitMillis);
-        state.writer().flush();
-        return accepted;
     }
 
-    /** Tells all callers that wait to ask the next dispatcher, or that the outcome is not known. */
-    void close() {
-        Map<String, List<CompletableFuture<Void>>> all = new HashMap<>(waiters);
-        waiters.clear();
-        all.forEach(
-                (id, list) -> {
-                    boolean neverSent = state.writer().withdraw(JobStore.submissionKey(id));
-                    SchedulerException failure =
-                            neverSent
-                                    ? Dispatcher.notDispatcher()
-                                    : undecided("the dispatcher was replaced");
-                    list.forEach(w -> w.completeExceptionally(failure));
-                });
+    private void forgetEarlyCancellations(long now) {
+        cancelledEarly
+                .entrySet()
+                .removeIf(
+                        entry -> {
+                            boolean old = now - entry.getValue() > state.terms().keepEndedMillis();
+                            if (old) {
+                                taken.add(IntakeKind.CANCELLATION.key(entry.getKey()));
+                            }
+                            return old;
+                        });
     }
 
-    private CompletableFuture<Void> await(String id, long waitMillis) {
-        CompletableFuture<Void> waiter = new CompletableFuture<>();
-        waiters.get(id).add(waiter);
-        loop.schedule(() -> giveUp(id, waiter), Math.max(1, waitMillis), TimeUnit.MILLISECONDS);
-        return waiter;
+    private void trim(List<String> keys) {
+        trimming = true;
+        List<KeyedRecord> removals =
+                keys.stream().map(key -> new KeyedRecord(key, new byte[0])).toList();
+        log.append(IntakeItem.TOPIC, removals, KeyedLog.ANY_END, TRIM_TIMEOUT)
+                .whenCompleteAsync(
+                        (outcome, error) -> {
+                            trimming = false;
+                            if (error == null) {
+                                keys.forEach(taken::remove);
+                            } else {
+                                state.metrics().countRetry(Failures.typeOf(error));
+                            }
+                        },
+                        loop);
     }
 
-    /** Answers a caller whose job is still not stored: it never runs if it was not sent yet. */
-    private void giveUp(String id, CompletableFuture<Void> waiter) {
-        if (waiter.isDone()) {
+    private void take(List<KeyedRecord> records) {
+        if (closed) {
             return;
         }
-        List<CompletableFuture<Void>> waiting = waiters.getOrDefault(id, new ArrayList<>());
-        waiting.remove(waiter);
-        if (waiting.isEmpty() && state.writer().withdraw(JobStore.submissionKey(id))) {
-            state.jobs().remove(id);
-            waiters.remove(id);
-            waiter.completeExceptionally(storeDown());
-        } else {
-            waiter.completeExceptionally(undecided("the log has not answered"));
+        boolean changed = false;
+        for (KeyedRecord stored : records) {
+            Optional<IntakeItem> item = IntakeItem.decode(stored);
+            if (item.isPresent()) {
+                changed |= take(item.get());
+            }
+        }
+        if (changed) {
+            onChange.run();
+            state.writer().flush();
         }
     }
 
-    private void stored(String id) {
-        List<CompletableFuture<Void>> stored = waiters.remove(id);
-        WorkJob job = state.jobs().get(id);
-        if (stored == null || job == null) {
-            return;
+    private boolean take(IntakeItem item) {
+        return switch (item.kind()) {
+            case SUBMISSION -> takeUp(item);
+            case CANCELLATION -> cancel(item);
+        };
+    }
+
+    private boolean takeUp(IntakeItem item) {
+        String id = item.job();
+        boolean first = !state.jobs().containsKey(id);
+        if (first) {
+            Submission submission = item.submission();
+            state.jobs().put(id, new WorkJob(submission));
+            state.storedViews().put(id, JobView.QUEUED);
+            state.writer().put(JobStore.submissionKey(id), () -> JobStore.write(submission));
+            state.metrics().count("tasks.jobs-taken-up");
+            noteTakenUp(submission);
+        }
+        removeOnceStored(item.key());
+        if (cancelledEarly.remove(id) != null) {
+            cancel(IntakeItem.cancellation(id));
         }
-        state.storedViews().put(id, JobView.QUEUED);
-        state.metrics().count("tasks.jobs-accepted");
-        noteAccepted(job.submission());
-        stored.forEach(w -> w.complete(null));
-        onAccepted.run();
+        return first;
     }
 
-    private void noteAccepted(Submission submission) {
+    private boolean cancel(IntakeItem item) {
+        WorkJob job = state.jobs().get(item.job());
+        if (job == null) {
+            cancelledEarly.putIfAbsent(item.job(), state.steadyMillis());
+            return false;
+        }
+        boolean ends = !job.phase().ended();
+        if (ends) {
+            runs.end(job, JobPhase.CANCELLED);
+            state.changed(job);
+        }
+        removeOnceStored(item.key());
+        return ends;
+    }
+
+    private void removeOnceStored(String key) {
+        state.writer().whenStored(() -> taken.add(key));
+    }
+
+    private void noteTakenUp(Submission submission) {
         WorkSpec work = submission.work();
         List<StepSpec> steps = work.steps();
-        EventLog.event("job-accepted")
+        EventLog.event("job-taken-up")
                 .field("job", submission.id())
                 .field("queue", submission.queue())
                 .field("customer", submission.customer())
+                .field("age", state.dateMillis() - submission.acceptedAtMillis())
                 .field("steps", steps.size())
                 .field("tasks", steps.stream().mapToInt(StepSpec::count).sum())
                 .field("gang", steps.stream().anyMatch(StepSpec::gang))
@@ -136,12 +257,4 @@
                 .field("epoch", state.epoch())
                 .info();
     }
-
-    private static SchedulerException storeDown() {
-        return new SchedulerException(FailureType.LOG_UNAVAILABLE, "the log is down", RETRY_MILLIS);
-    }
-
-    private static SchedulerException undecided(String detail) {
-        return new SchedulerException(FailureType.LOG_UNDECIDED, detail, RETRY_MILLIS);
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
@@ -68,8 +67,13 @@
 
     /** Reads everything; to be called by the holder of the claim, while nobody else writes. */
     static CompletableFuture<Content> load(KeyedLog log) {
-        Map<String, byte[]> values = new HashMap<>();
-        return loadFrom(log, "", values).thenApply(done -> content(values));
+        return KeyedContent.read(log, TOPIC)
+                .thenApply(
+                        read -> {
+                            Map<String, byte[]> values = new HashMap<>();
+                            read.records().forEach(r -> values.put(r.key(), r.value()));
+                            return content(values);
+                        });
     }
 
     private static Content content(Map<String, byte[]> values) {
@@ -84,20 +88,6 @@
                         (agent, value) -> Json.read(value, UpstreamSpeed.class)));
     }
 
-    private static CompletableFuture<Void> loadFrom(
-            KeyedLog log, String afterKey, Map<String, byte[]> values) {
-        return log.newest(TOPIC, afterKey)
-                .thenCompose(
-                        page -> {
-                            List<KeyedRecord> records = page.records();
-                            records.forEach(r -> values.put(r.key(), r.value()));
-                            if (!page.more() || records.isEmpty()) {
-                                return CompletableFuture.completedFuture(null);
-                            }
-                            return loadFrom(log, records.get(records.size() - 1).key(), values);
-                        });
-    }
-
     /**
      * Reads the records of one kind, by the rest of their keys; skips those that are unreadable.
      */
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/MemoryKeyedLog.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/MemoryKeyedLog.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,7 @@
     }
 
     private final Map<String, List<KeyedRecord>> topics = new LinkedHashMap<>();
+    private final Map<String, Integer> forgotten = new HashMap<>();
     private final List<Runnable> late = new ArrayList<>();
     private Fault appendFault = Fault.NONE;
     private Fault readFault = Fault.NONE;
@@ -45,6 +47,11 @@
         late.clear();
     }
 
+    /** Keeps only the newest record of each key, as the log service does after a while. */
+    public synchronized void forgetHistory(String topic) {
+        forgotten.put(topic, records(topic).size());
+    }
+
     /** Returns how many appends were carried out. */
     public synchronized int appends() {
         return appends;
@@ -109,6 +116,9 @@
             return failed(FailureType.LOG_UNAVAILABLE);
         }
         List<KeyedRecord> all = topics.getOrDefault(topic, List.of());
+        if (from < forgotten.getOrDefault(topic, 0)) {
+            return CompletableFuture.completedFuture(new KeyedSlice(List.of(), from, true));
+        }
         int first = (int) Math.min(from, all.size());
         return CompletableFuture.completedFuture(
                 new KeyedSlice(all.subList(first, all.size()), all.size(), false));
