Take no upstream from an odd status report

What was seen: an agent that gets a report with numbers out of range, an address with port 99999 or an empty capacity follows the upstream that it names. Cause: fields were read with asLong and asText, which convert whatever stands there, and most were not checked. Ruled out: nesting of 200,000 levels; the parser refuses more than 1,000, and the process lives (two tests). A report that is well formed and untrue cannot be told from a true one.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpClient.java
@@ -9,12 +9,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Pattern;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.ConnectionPool;
 import okhttp3.ConnectionSpec;
 import okhttp3.Dispatcher;
 import okhttp3.EventListener;
+import okhttp3.HttpUrl;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -29,6 +31,10 @@
  */
 public final class HttpClient implements AutoCloseable {
     private static final MediaType JSON = MediaType.get(HttpReply.JSON);
+
+    /** Leaves out what would make a URL name something else than a host and a port. */
+    private static final Pattern ADDRESS = Pattern.compile("[A-Za-z0-9.-]{1,253}:[0-9]{1,5}");
+
     private static final long IDLE_CONNECTION_SECONDS = 30;
 
     private final OkHttpClient client;
@@ -91,6 +97,16 @@
         return new Request.Builder().url("http://" + address + path).method(method, content);
     }
 
+    /**
+     * Tells whether a text names a place to which requests can be sent.
+     *
+     * @param text the text, not null
+     * @return whether it is "host:port" with a port from 1 to 65535
+     */
+    public static boolean isAddress(String text) {
+        return ADDRESS.matcher(text).matches() && HttpUrl.parse("http://" + text + "/") != null;
+    }
+
     /**
      * Sends a request.
      *
