Leave out entries that are no address

What was seen: with one odd key among the records of keyed.entries ("no address", "10.0.0.1:99999" or an empty one), each agent that had heard of it stopped looking for the dispatcher for good once it had lost it, and sent no more reports; its process lived. The entries told the odd key to each other and to all agents. An entry whose log failed did not get past the odd address in its tick, and one that got it for the dispatcher's asked nobody again. Cause: HttpClient.request throws for such an address. AgentRunner had set its flag for a search in progress, and EntryNode that for a hello in progress, before the call; neither was ever cleared. Addresses were taken in unchecked from settings, the log, peers and orders. Ruled out: the end of the process; the exception ends in the future of the executor. A dispatcher with such an address counts as none. Conclusion: fixed for what an entry or agent takes in.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
@@ -95,7 +95,7 @@
         this.upstream = upstream;
         this.loop = loop;
         this.metrics = metrics;
-        entries.addAll(seeds);
+        addEntries(seeds);
     }
 
     /** Starts to look for the dispatcher. */
@@ -109,7 +109,7 @@
      * @param seeds the addresses, not null
      */
     public void addSeeds(List<String> seeds) {
-        loop.execute(() -> entries.addAll(seeds));
+        loop.execute(() -> addEntries(seeds));
     }
 
     /** Ends all calls; what runs on the upstream goes on under its lease. */
@@ -177,6 +177,10 @@
         lookSequence++;
     }
 
+    private void addEntries(List<String> addresses) {
+        entries.addAll(PeerAddresses.usable(addresses, metrics));
+    }
+
     private void findDispatcher() {
         if (closed || asking) {
             return;
@@ -197,9 +201,9 @@
     private void found(PeerHello hello, Throwable error) {
         asking = false;
         if (error == null) {
-            entries.addAll(hello.entries());
+            addEntries(hello.entries());
         }
-        if (error == null && !hello.dispatcher().isEmpty() && hello.epoch() >= epoch) {
+        if (error == null && HttpClient.isAddress(hello.dispatcher()) && hello.epoch() >= epoch) {
             dispatcher = hello.dispatcher();
             report();
         } else {
@@ -293,7 +297,7 @@
     private void follow(AgentOrders orders, UpstreamNotice about, long clockAtSend) {
         boolean newEpoch = orders.epoch() > epoch;
         epoch = orders.epoch();
-        entries.addAll(orders.entries());
+        addEntries(orders.entries());
         boolean sameBoot =
                 notice != null
                         && about != null
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryDirectory.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryDirectory.java
@@ -12,7 +12,7 @@
 /** Tells other entries where this one is reached, and learns where they are. */
 final class EntryDirectory {
     /** The log in which entries tell where they are reached. */
-    private static final String TOPIC = "keyed.entries";
+    static final String TOPIC = "keyed.entries";
 
     private static final Duration APPEND_TIMEOUT = Duration.ofMillis(800);
     private static final long RETRY_SECONDS = 1;
@@ -20,7 +20,7 @@
     private final KeyedLog log;
     private final KeyedRecord mine;
     private final ScheduledExecutorService loop;
-    private final Consumer<String> found;
+    private final Consumer<List<String>> found;
     private boolean registered;
 
     /**
@@ -30,14 +30,14 @@
      * @param address where this entry is reached
      * @param process names this life of the entry
      * @param loop the thread of the owner
-     * @param found takes each address that is read, on the thread of the owner
+     * @param found takes the addresses that were read, on the thread of the owner
      */
     EntryDirectory(
             KeyedLog log,
             String address,
             String process,
             ScheduledExecutorService loop,
-            Consumer<String> found) {
+            Consumer<List<String>> found) {
         this.log = log;
         this.mine = new KeyedRecord(address, Json.write(Map.of("process", process)));
         this.loop = loop;
@@ -49,7 +49,9 @@
         log.newest(TOPIC, "")
                 .thenCompose(
                         page -> {
-                            page.records().forEach(r -> loop.execute(() -> found.accept(r.key())));
+                            List<String> read =
+                                    page.records().stream().map(KeyedRecord::key).toList();
+                            loop.execute(() -> found.accept(read));
                             return registered
                                     ? CompletableFuture.completedFuture(null)
                                     : log.append(
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -112,7 +112,7 @@
                         loop,
                         this::claimed,
                         this::claimEnded);
-        entries.addAll(seeds);
+        addEntries(seeds);
         entries.add(address);
     }
 
@@ -132,7 +132,7 @@
     /** Starts to take part. */
     public void start() {
         leaderHeardMillis = now() - SUSPECT_MILLIS;
-        new EntryDirectory(log, address, process, loop, entries::add).start();
+        new EntryDirectory(log, address, process, loop, this::addEntries).start();
         loop.schedule(this::tick, 0, TimeUnit.MILLISECONDS);
     }
 
@@ -151,7 +151,7 @@
      * @param seeds the addresses, not null
      */
     public void addSeeds(List<String> seeds) {
-        loop.execute(() -> entries.addAll(seeds));
+        loop.execute(() -> addEntries(seeds));
     }
 
     /** Gives leadership up, if this entry holds it, and ends all calls. */
@@ -233,9 +233,12 @@
     }
 
     private void learn(PeerHello hello) {
+        addEntries(hello.entries());
+        if (!HttpClient.isAddress(hello.address())) {
+            return;
+        }
         fleetExchange.heard(hello);
         entries.add(hello.address());
-        entries.addAll(hello.entries());
         if (hello.epoch() > epoch) {
             follow(hello.dispatcher(), hello.epoch());
         } else if (hello.epoch() == epoch && hello.leaving() && leader.equals(hello.address())) {
@@ -259,7 +262,7 @@
             stepDown("higher epoch " + epoch);
         }
         // Others may still name an earlier life of this entry, which has gone.
-        leader = newer.equals(address) ? "" : newer;
+        leader = newer.equals(address) || !HttpClient.isAddress(newer) ? "" : newer;
         heardLeader();
         EventLog.event("dispatcher-changed")
                 .field("epoch", epoch)
@@ -279,6 +282,10 @@
         suspicion = reason;
     }
 
+    private void addEntries(List<String> addresses) {
+        entries.addAll(PeerAddresses.usable(addresses, metrics));
+    }
+
     private List<String> others() {
         List<String> all = new ArrayList<>(entries);
         all.remove(address);
--- /dev/null
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryAddressesTest.java
@@ -0,0 +1,113 @@
+package org.fescueloom.daemon.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import org.fescueloom.daemon.concurrent.Timers;
+import org.fescueloom.daemon.http.HttpClient;
+import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.fleet.FleetConfiguration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Which addresses an {@link EntryNode} takes in from others and hands on. */
+class EntryAddressesTest {
+    private static final long WAIT_SECONDS = 20;
+    private static final List<String> ODD = List.of("", "no address", "10.0.0.1:99999", "a:1/b");
+    private static final DispatchTerms TERMS = new DispatchTerms(7_000, 6_000, 1_800, 60_000);
+
+    private final MemoryKeyedLog log = new MemoryKeyedLog();
+    private final HttpServer server = new HttpServer("127.0.0.1", 0, 1 << 20);
+    private final HttpClient http = new HttpClient(2, Duration.ofSeconds(1));
+    private final ScheduledExecutorService loop = Timers.singleThread("entry");
+    private final Metrics metrics = new Metrics();
+    private final FleetFollower follower =
+            new FleetFollower(log, "keyed.op", new NoRecords(), loop, metrics);
+    private final EntryNode node =
+            new EntryNode("127.0.0.1:1", ODD, log, TERMS, loop, follower, metrics);
+
+    /** Reads nothing. */
+    private static final class NoRecords implements OperatorDecoder {
+        @Override
+        public Optional<FleetConfiguration> configuration(KeyedRecord item) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<String> zone(String key) {
+            return Optional.empty();
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        for (String key : List.of("no address", "10.0.0.1:99999", "127.0.0.1:3")) {
+            KeyedRecord item = new KeyedRecord(key, new byte[] {1});
+            log.append(EntryDirectory.TOPIC, List.of(item), KeyedLog.ANY_END, Duration.ZERO);
+        }
+        node.routes(server);
+        server.start();
+        node.start();
+    }
+
+    @AfterEach
+    void stop() {
+        node.close();
+        loop.shutdownNow();
+        http.close();
+        server.close();
+    }
+
+    private PeerHello call(String method, String path, PeerHello body) {
+        return http.send(
+                        HttpClient.request(method, "127.0.0.1:" + server.port(), path, body)
+                                .build(),
+                        Duration.ofSeconds(10))
+                .join()
+                .read(PeerHello.class);
+    }
+
+    private List<String> known() {
+        return call("GET", "/agent/dispatcher", null).entries();
+    }
+
+    // Guards against incident 24: agents were told of an odd entry and stopped looking for others.
+    @Test
+    void comeFromTheLogOnlyIfTheyAreAddresses() throws InterruptedException {
+        Polling.await(() -> known().contains("127.0.0.1:3"), WAIT_SECONDS);
+
+        assertThat(known()).containsExactly("127.0.0.1:1", "127.0.0.1:3");
+    }
+
+    // Guards against incident 24: an odd address of a peer was asked and told to all others.
+    @Test
+    void comeFromPeersOnlyIfTheyAreAddresses() throws InterruptedException {
+        Polling.await(() -> known().contains("127.0.0.1:3"), WAIT_SECONDS);
+        for (String odd : ODD) {
+            PeerHello hello =
+                    new PeerHello(odd, 7, odd, 0, 0, 9, 0, true, false, List.of("127.0.0.1:2"));
+
+            assertThat(call("POST", "/peer/hello", hello).entries())
+                    .containsExactly("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3");
+            assertThat(known()).doesNotContainAnyElementsOf(ODD);
+        }
+    }
+
+    // Guards against incident 24: an odd address of the dispatcher was followed by all entries.
+    @Test
+    void ofTheDispatcherAreNotFollowedIfTheyAreNone() {
+        PeerHello hello =
+                new PeerHello(
+                        "127.0.0.1:2", 7, "10.0.0.1:99999", 0, 0, 0, 0, true, false, List.of());
+
+        PeerHello answer = call("POST", "/peer/hello", hello);
+
+        assertThat(answer.epoch()).isEqualTo(7);
+        assertThat(answer.dispatcher()).isEmpty();
+    }
+}
