Follow the operators past a record that fails its decoder

What was seen: a follower whose decoder throws for a record, other than by returning nothing, reads nothing any more; the process lives, and its configuration grows old. Cause: FleetFollower.fold ran in the completion of a read; the exception ended there, and the next read was never made. Ruled out: a record for which OperatorRecords throws today; none was found (500 random ones, nesting, odd types). Change: a record that fails is counted (fleet.records-unreadable), logged and passed over. Conclusion: fixed as a guard; the fault needs a decoder that throws.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -268,7 +268,7 @@
     private void fold(List<KeyedRecord> records, Set<String> zonesOut, long end) {
         FleetConfiguration configuration = view.configuration();
         for (KeyedRecord item : records) {
-            configuration = newer(configuration, decoder.configuration(item));
+            configuration = newer(configuration, read(item));
             Optional<String> zone = decoder.zone(item.key());
             if (item.value().length == 0) {
                 newest.remove(item.key());
@@ -281,6 +281,17 @@
         publish(new FleetView(configuration, zonesOut, end));
     }
 
+    /** Reads a configuration; whatever is wrong with a record, those behind it are read. */
+    private Optional<FleetConfiguration> read(KeyedRecord item) {
+        try {
+            return decoder.configuration(item);
+        } catch (RuntimeException e) {
+            metrics.count("fleet.records-unreadable");
+            EventLog.event("fleet-record-unreadable").field("key", item.key()).error(e).error();
+            return Optional.empty();
+        }
+    }
+
     private static FleetConfiguration newer(
             FleetConfiguration known, Optional<FleetConfiguration> read) {
         boolean newer =
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetFollowerTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetFollowerTest.java
@@ -87,6 +87,35 @@
         }
     }
 
+    @Nested
+    class OddRecords {
+        // Guards against incident 24: the follower stopped at a record that its decoder failed on.
+        @Test
+        void areReadPast() throws InterruptedException {
+            startAt(1);
+
+            store("config", "odd");
+            store("out/z", "x");
+            configure(2);
+
+            Polling.await(() -> follower.view().version() == 2, WAIT_SECONDS);
+            assertThat(follower.view().zonesOut()).containsExactly("z");
+            assertThat(follower.view().offset()).isEqualTo(4);
+        }
+
+        // Guards against incident 24: a follower that met such a record at its start read nothing.
+        @Test
+        void areReadPastAtTheStart() throws InterruptedException {
+            store("config", "odd");
+            follower.start();
+
+            Polling.await(() -> follower.view().offset() == 1, WAIT_SECONDS);
+            configure(2);
+
+            Polling.await(() -> follower.view().version() == 2, WAIT_SECONDS);
+        }
+    }
+
     @Nested
     class Adoption {
         private FleetCopy copyOfAnother() throws InterruptedException {
