Cut off long values in log lines

What was seen: a value of a million characters, as an odd key or state may be, was written to the log in full. Cause: EventLog wrote values of any length, and readers put what they could not read into their lines. Change: a value of more than 500 characters is cut off and ends in three dots. Measured: EventLogTest#cutsOffLongValues failed on and passes with this change. Conclusion: fixed for one line. How many lines are written is bounded by the writer of the log, as before.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/logging/EventLog.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/logging/EventLog.java
@@ -13,12 +13,14 @@
  *
  * <p>The line begins with time, level and the identifier of the process, which the format of the
  * logging library adds. A value with other characters than letters, digits and a few marks stands
- * in double quotes with line breaks, quotes and backslashes escaped. Usage: {@code
+ * in double quotes with line breaks, quotes and backslashes escaped. One of more than 500
+ * characters is cut off and ends in three dots. Usage: {@code
  * EventLog.event("zone-out").field("zone", zone).info()}.
  */
 public final class EventLog {
     private static final String MEMBER = "member";
     private static final String LEVEL = "level";
+    private static final int MAX_VALUE_CHARS = 500;
     private static final Pattern PLAIN = Pattern.compile("[A-Za-z0-9._:/@+,\\[\\]-]+");
 
     private final StringBuilder line;
@@ -66,7 +68,7 @@
      */
     public EventLog field(String key, Object value) {
         line.append(' ').append(Objects.requireNonNull(key, "key")).append('=');
-        line.append(value == null ? "none" : quote(value.toString()));
+        line.append(value == null ? "none" : quote(clip(value.toString())));
         return this;
     }
 
@@ -110,6 +112,10 @@
         return line.toString();
     }
 
+    private static String clip(String text) {
+        return text.length() <= MAX_VALUE_CHARS ? text : text.substring(0, MAX_VALUE_CHARS) + "...";
+    }
+
     private static String quote(String text) {
         if (PLAIN.matcher(text).matches()) {
             return text;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/logging/EventLogTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/logging/EventLogTest.java
@@ -24,6 +24,13 @@
                 .hasToString("event=failed error=IllegalStateException reason=\"a \\\"b\\\"\\nc\"");
     }
 
+    // Guards against incident 24: an odd record was written to the log in its whole length.
+    @Test
+    void cutsOffLongValues() {
+        assertThat(EventLog.event("e").field("k", "a".repeat(1_000_000)).toString())
+                .isEqualTo("event=e k=" + "a".repeat(500) + "...");
+    }
+
     @Property(tries = 200, seed = "11")
     void neverBreaksTheLine(@ForAll String value) {
         assertThat(EventLog.event("e").field("k", value).toString())
