Load the other jobs when the progress of one is odd

What was seen: one record of progress with null for an occurrence or a step made JobStore.load fail. Each entry that claims loads first, so by the code none can dispatch while the record is kept. Cause: JobStore skipped only records that fail with SchedulerException; WorkJob.restore fails with a NullPointerException. A null task was taken in and would fail later. Change: a job that fails to be restored in any way is logged and skipped, as an unreadable one was before. WorkJob.restore refuses a null task. Conclusion: fixed in the reader.

--- a/fescueloom-core/src/main/java/org/fescueloom/work/WorkJob.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/work/WorkJob.java
@@ -48,7 +48,7 @@
             for (int s = 0; s < table.length && s < kept.getValue().size(); s++) {
                 List<TaskRecord> row = kept.getValue().get(s);
                 for (int i = 0; i < table[s].length && i < row.size(); i++) {
-                    table[s][i] = row.get(i);
+                    table[s][i] = Objects.requireNonNull(row.get(i), "task");
                 }
             }
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
 import org.fescueloom.daemon.logging.EventLog;
-import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.json.Json;
 import org.fescueloom.schedule.UpstreamSpeed;
 import org.fescueloom.work.JobPhase;
@@ -100,7 +99,8 @@
                         String id = key.substring(prefix.length());
                         try {
                             found.put(id, reader.apply(id, value));
-                        } catch (SchedulerException e) {
+                        } catch (RuntimeException e) {
+                            // Without the others there would be no dispatcher at all.
                             EventLog.event("record-skipped").field("key", key).error(e).error();
                         }
                     }
