Refuse records of peers with nulls or offsets beyond any log

What was seen: a hello or a copy of the fleet with the offset was taken; a follower at that offset counts each true answer as old. Cause: the records checked few of their parts, and none of its range. Ruled out: numbers that are too large for their type, fractions and nesting, which were refused before (tests). Conclusion: fixed as a guard; only processes of the system itself write these messages.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EndRow.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EndRow.java
@@ -1,5 +1,6 @@
 package org.fescueloom.daemon.dispatch;
 
+import java.util.Objects;
 import org.fescueloom.work.RunEnd;
 
 /**
@@ -11,4 +12,11 @@
  * @param end how it ended, not null
  * @param checkpoint the checkpoint that it left; empty if there is none
  */
-public record EndRow(long number, String task, int run, RunEnd end, String checkpoint) {}
+public record EndRow(long number, String task, int run, RunEnd end, String checkpoint) {
+    /** Checks the values. */
+    public EndRow {
+        Objects.requireNonNull(task, "task");
+        Objects.requireNonNull(end, "end");
+        Objects.requireNonNull(checkpoint, "checkpoint");
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetCopy.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetCopy.java
@@ -9,11 +9,25 @@
  * @param records the records, without those that were removed, not null
  */
 record FleetCopy(long offset, List<KeyedRecord> records) {
+    private static final long MAX_OFFSET = 1L << 53;
+
     /** What is known before anything was read. */
     static final FleetCopy EMPTY = new FleetCopy(0, List.of());
 
     /** Copies the list. */
     FleetCopy {
+        requireOffset(offset);
         records = List.copyOf(records);
     }
+
+    /**
+     * Checks an offset in a log that another process has reported.
+     *
+     * @throws IllegalArgumentException if it is negative or beyond any log
+     */
+    static void requireOffset(long offset) {
+        if (offset < 0 || offset > MAX_OFFSET) {
+            throw new IllegalArgumentException("offset is out of range: " + offset);
+        }
+    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/PeerHello.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/PeerHello.java
@@ -37,6 +37,8 @@
     public PeerHello {
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(dispatcher, "dispatcher");
+        FleetCopy.requireOffset(epoch);
+        FleetCopy.requireOffset(fleetOffset);
         entries = List.copyOf(entries);
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunRow.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunRow.java
@@ -1,5 +1,7 @@
 package org.fescueloom.daemon.dispatch;
 
+import java.util.Objects;
+
 /**
  * Describes a run that exists on an upstream.
  *
@@ -10,4 +12,10 @@
  * @param load its tail latency in milliseconds if it serves, otherwise the processor time in use,
  *     in thousandths of a core
  */
-public record RunRow(String task, int run, String checkpoint, int percent, long load) {}
+public record RunRow(String task, int run, String checkpoint, int percent, long load) {
+    /** Checks the values. */
+    public RunRow {
+        Objects.requireNonNull(task, "task");
+        Objects.requireNonNull(checkpoint, "checkpoint");
+    }
+}
