Take dropped history, or records behind our own, for no proof of the claim

What callers could see: 410 for an accepted job from a dispatcher that was replaced without noticing, and leases that it renews. Cause: a read of a log that has dropped its history told the offset that was asked for as its end; and an append whose answer was lost counted as a proof although a claim stood behind it. Change: the end is asked for with a page of the newest records; a batch counts as stored only if nothing follows it.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
@@ -45,12 +45,12 @@
     private final Metrics metrics;
     private final Runnable deposed;
     private final Backoff backoff;
+    private final List<Proof> proofs = new ArrayList<>();
     private final Map<String, Supplier<byte[]>> waiting = new LinkedHashMap<>();
     private List<Runnable> waitingActions = new ArrayList<>();
     private Batch batch;
     private long endOffset;
     private long failingSinceMillis = -1;
-    private final List<Proof> proofs = new ArrayList<>();
     private boolean verifying;
     private boolean undecided;
     private boolean pausing;
@@ -110,11 +110,6 @@
         waiting.put(key, value);
     }
 
-    /** Takes back a key that was not written yet; tells whether it was still waiting. */
-    boolean withdraw(String key) {
-        return waiting.remove(key) != null;
-    }
-
     /** Runs an action once everything that is marked now has been stored. */
     void whenStored(Runnable action) {
         waitingActions.add(action);
@@ -143,14 +138,22 @@
         verifying = true;
         StoreContact.Moment sent = contact.now();
         log.read(topic, endOffset, Duration.ZERO)
+                .thenCompose(this::endOf)
                 .whenCompleteAsync(
-                        (slice, error) -> {
+                        (end, error) -> {
                             verifying = false;
-                            verified(sent, slice, error);
+                            verified(sent, end, error);
                         },
                         loop);
     }
 
+    /** Returns where the log ends; one that has dropped the records after ours does not say. */
+    private CompletableFuture<Long> endOf(KeyedSlice slice) {
+        return slice.expired()
+                ? log.newest(topic, JobStore.LAST_KEY).thenApply(KeyedPage::endOffset)
+                : CompletableFuture.completedFuture(slice.endOffset());
+    }
+
     /**
      * Proves that nobody else has written at some moment after this call.
      *
@@ -305,10 +308,11 @@
                         loop);
     }
 
+    /** Tells whether the batch was stored, and nothing of anybody else behind it. */
     private boolean isBatch(KeyedSlice slice) {
         List<KeyedRecord> found = slice.records();
         List<KeyedRecord> expected = batch.records();
-        if (found.size() < expected.size()) {
+        if (found.size() != expected.size() || slice.endOffset() != endOffset + expected.size()) {
             return false;
         }
         for (int i = 0; i < expected.size(); i++) {
@@ -345,7 +349,7 @@
         flush();
     }
 
-    private void verified(StoreContact.Moment sent, KeyedSlice slice, Throwable error) {
+    private void verified(StoreContact.Moment sent, Long end, Throwable error) {
         if (closed || batch != null) {
             return;
         }
@@ -354,8 +358,8 @@
                 noteLost(sent, error);
             }
             failProofs(logFails(error));
-        } else if (slice.endOffset() > endOffset) {
-            replaced(slice.endOffset());
+        } else if (end > endOffset) {
+            replaced(end);
         } else {
             regained();
             contact.confirm(sent);
