Keep the first job of an identifier, and remove what is stored during a removal

What callers could see: a job that ran a second time after it was forgotten, if a repeat was stored while its removal waited for an answer; a job replaced by another one with the same identifier that was stored while nobody dispatched. Cause: the mark of a key that is being removed was dropped with the answer; one key held both. Change: keys that are being removed are held apart; a submission's key has a digest of its content, and a new dispatcher takes up the earliest one. An item that fails does not keep those behind it back, questions for unknown jobs share their reads, and early cancellations are bounded.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeFollower.java
@@ -32,8 +32,11 @@
     private final KeyedLog log;
     private final ScheduledExecutorService loop;
     private final Metrics metrics;
+    private final Consumer<KeyedContent> allTaker;
     private final Consumer<List<KeyedRecord>> taker;
     private final Backoff backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, new Random());
+    private CompletableFuture<Void> reading;
+    private CompletableFuture<Void> waiting;
     private long offset;
     private boolean failing;
     private boolean closed;
@@ -45,18 +48,21 @@
      * @param offset where to begin
      * @param loop the thread of the owner
      * @param metrics counts what is read
-     * @param taker takes records
+     * @param allTaker takes the newest record of each key after older ones were dropped
+     * @param taker takes records in order
      */
     IntakeFollower(
             KeyedLog log,
             long offset,
             ScheduledExecutorService loop,
             Metrics metrics,
+            Consumer<KeyedContent> allTaker,
             Consumer<List<KeyedRecord>> taker) {
         this.log = log;
         this.offset = offset;
         this.loop = loop;
         this.metrics = metrics;
+        this.allTaker = allTaker;
         this.taker = taker;
     }
 
@@ -70,19 +76,48 @@
         closed = true;
     }
 
-    /** Returns up to where records have been handed over. */
-    long offset() {
-        return offset;
+    /**
+     * Hands over all that is stored now; calls at the same time share the reads.
+     *
+     * @return a future that fails as {@link KeyedLog#read} does
+     */
+    CompletableFuture<Void> catchUp() {
+        if (reading == null) {
+            reading = readToEnd();
+            reading.whenCompleteAsync((v, error) -> caughtUp(), loop);
+            return reading;
+        }
+        // A read that is under way may have left the log service before this call.
+        if (waiting == null) {
+            waiting = new CompletableFuture<>();
+        }
+        return waiting;
     }
 
-    /** Hands over all that is stored now; the future fails as {@link KeyedLog#read} does. */
-    CompletableFuture<Void> catchUp() {
+    private void caughtUp() {
+        reading = null;
+        CompletableFuture<Void> next = waiting;
+        waiting = null;
+        if (next != null) {
+            catchUp()
+                    .whenComplete(
+                            (v, error) -> {
+                                if (error == null) {
+                                    next.complete(null);
+                                } else {
+                                    next.completeExceptionally(error);
+                                }
+                            });
+        }
+    }
+
+    private CompletableFuture<Void> readToEnd() {
         return read(Duration.ZERO)
                 .thenComposeAsync(
                         end ->
                                 closed || end <= offset
                                         ? CompletableFuture.completedFuture(null)
-                                        : catchUp(),
+                                        : readToEnd(),
                         loop);
     }
 
@@ -127,7 +162,7 @@
                         content -> {
                             if (!closed && content.offset() >= offset) {
                                 offset = content.offset();
-                                taker.accept(content.records());
+                                allTaker.accept(content);
                             }
                             return offset;
                         },
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeItem.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeItem.java
@@ -3,15 +3,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.zip.CRC32;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.json.Json;
 import org.fescueloom.work.Submission;
 
 /**
- * Holds what a caller has asked for and every entry may store.
+ * Holds the call of a client that hands in or cancels a job.
  *
- * <p>An item names its job, so to store it again has no further effect.
+ * <p>An item names its job, so storing it again has no further effect.
  *
  * @param kind what is asked for, not null
  * @param job the identifier of the job, not null
@@ -21,6 +22,7 @@
     /** The log that every entry writes and the dispatcher follows. */
     static final String TOPIC = "keyed.intake";
 
+    private static final char SEPARATOR = '/';
     private static final byte[] CANCELLED = "{}".getBytes(StandardCharsets.UTF_8);
 
     /** Checks the values. */
@@ -42,9 +44,34 @@
         return new IntakeItem(IntakeKind.CANCELLATION, job, null);
     }
 
-    /** Returns the key under which the item is stored. */
+    /**
+     * Returns the key under which the item is stored.
+     *
+     * <p>Submissions of one identifier with another content have other keys, so that none of them
+     * replaces the first one before a dispatcher has read it.
+     */
     String key() {
-        return kind.key(job);
+        return kind.key(submission == null ? job : job + SEPARATOR + digest(submission));
+    }
+
+    /** Returns a short text that is the same for each repeat of a call. */
+    private static String digest(Submission submission) {
+        Submission timeless =
+                new Submission(
+                        submission.id(),
+                        submission.queue(),
+                        submission.customer(),
+                        submission.service(),
+                        0,
+                        submission.work());
+        CRC32 crc = new CRC32();
+        crc.update(Json.write(timeless));
+        return Long.toHexString(crc.getValue());
+    }
+
+    /** Returns when the job was handed in, in milliseconds since 1970; 0 for a cancellation. */
+    long acceptedAtMillis() {
+        return submission == null ? 0 : submission.acceptedAtMillis();
     }
 
     /** Returns the record that is stored. */
@@ -66,16 +93,16 @@
             noteSkipped(stored).warn();
             return Optional.empty();
         }
-        String job = kind.get().job(stored.key());
+        String rest = kind.get().rest(stored.key());
         if (kind.get() == IntakeKind.CANCELLATION) {
-            return Optional.of(cancellation(job));
+            return Optional.of(cancellation(rest));
         }
         try {
-            Submission submission = Json.read(stored.value(), Submission.class);
-            if (submission.id().equals(job)) {
-                return Optional.of(of(submission));
+            IntakeItem item = of(Json.read(stored.value(), Submission.class));
+            if (item.key().equals(stored.key())) {
+                return Optional.of(item);
             }
-            noteSkipped(stored).field("names", submission.id()).error();
+            noteSkipped(stored).field("expected", item.key()).error();
         } catch (SchedulerException e) {
             noteSkipped(stored).error(e).error();
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeKind.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeKind.java
@@ -19,9 +19,9 @@
         this.event = event;
     }
 
-    /** Returns the key under which a record of this kind is kept for a job. */
-    String key(String job) {
-        return prefix + job;
+    /** Returns the key under which a record of this kind is kept. */
+    String key(String rest) {
+        return prefix + rest;
     }
 
     /** Returns the HTTP method by which one entry asks another to store such a record. */
@@ -34,8 +34,8 @@
         return event;
     }
 
-    /** Returns the job that a key of this kind names. */
-    String job(String key) {
+    /** Returns the job that a key of this kind names, and what tells records of it apart. */
+    String rest(String key) {
         return key.substring(prefix.length());
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
@@ -1,7 +1,9 @@
 package org.fescueloom.daemon.dispatch;
 
 import java.time.Duration;
-import java.util.HashMap;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Stream;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Failures;
@@ -35,6 +38,9 @@
     /** One call stays below the 2 MiB that the log service takes; a removal has some 24 bytes. */
     private static final int MAX_TRIMMED = 10_000;
 
+    /** Bounds the memory for cancellations whose job never comes, at some 100 bytes each. */
+    private static final int MAX_CANCELLED_EARLY = 50_000;
+
     private static final long RETRY_MILLIS = 1_000;
 
     private static final Duration TRIM_TIMEOUT = Duration.ofMillis(900);
@@ -46,10 +52,10 @@
     private final Runnable onChange;
     private final KeyedContent start;
     private final IntakeFollower follower;
-    private final Set<String> taken = new LinkedHashSet<>();
-    private final Map<String, Long> cancelledEarly = new HashMap<>();
+    private final Set<String> toRemove = new LinkedHashSet<>();
+    private final Set<String> removing = new HashSet<>();
+    private final Map<String, Long> cancelledEarly = new LinkedHashMap<>();
     private long trimmedMillis;
-    private boolean trimming;
     private boolean closed;
 
     /**
@@ -75,12 +81,14 @@
         this.start = start;
         this.loop = loop;
         this.onChange = onChange;
-        follower = new IntakeFollower(log, start.offset(), loop, state.metrics(), this::take);
+        follower =
+                new IntakeFollower(
+                        log, start.offset(), loop, state.metrics(), this::takeAll, this::take);
     }
 
     /** Takes up what was stored before, and begins to follow. */
     void start() {
-        take(start.records());
+        takeAll(start);
         follower.start();
     }
 
@@ -131,18 +139,20 @@
 
     /** Tells whether what a caller has stored of a job is still to be removed. */
     boolean holds(String id) {
-        return taken.contains(IntakeKind.SUBMISSION.key(id));
+        String prefix = IntakeKind.SUBMISSION.key(id + "/");
+        return Stream.concat(toRemove.stream(), removing.stream())
+                .anyMatch(key -> key.startsWith(prefix));
     }
 
     /** Removes from time to time what was taken up. */
     void tick(long now) {
-        if (closed || trimming || now - trimmedMillis < TRIM_MILLIS) {
+        if (closed || !removing.isEmpty() || now - trimmedMillis < TRIM_MILLIS) {
             return;
         }
         forgetEarlyCancellations(now);
-        if (!taken.isEmpty()) {
+        if (!toRemove.isEmpty()) {
             trimmedMillis = now;
-            trim(taken.stream().limit(MAX_TRIMMED).toList());
+            trim(toRemove.stream().limit(MAX_TRIMMED).toList());
         }
     }
 
@@ -153,38 +163,56 @@
                         entry -> {
                             boolean old = now - entry.getValue() > state.terms().keepEndedMillis();
                             if (old) {
-                                taken.add(IntakeKind.CANCELLATION.key(entry.getKey()));
+                                toRemove.add(IntakeKind.CANCELLATION.key(entry.getKey()));
                             }
                             return old;
                         });
     }
 
     private void trim(List<String> keys) {
-        trimming = true;
+        // A record that is stored again meanwhile is marked again, and removed the next time.
+        keys.forEach(toRemove::remove);
+        removing.addAll(keys);
         List<KeyedRecord> removals =
                 keys.stream().map(key -> new KeyedRecord(key, new byte[0])).toList();
         log.append(IntakeItem.TOPIC, removals, KeyedLog.ANY_END, TRIM_TIMEOUT)
                 .whenCompleteAsync(
                         (outcome, error) -> {
-                            trimming = false;
-                            if (error == null) {
-                                keys.forEach(taken::remove);
-                            } else {
+                            removing.clear();
+                            if (error != null) {
+                                toRemove.addAll(keys);
                                 state.metrics().countRetry(Failures.typeOf(error));
                             }
                         },
                         loop);
     }
 
+    /** Takes up all that is kept; of submissions with one identifier, the earliest one. */
+    private void takeAll(KeyedContent content) {
+        takeItems(
+                content.records().stream()
+                        .map(IntakeItem::decode)
+                        .flatMap(Optional::stream)
+                        .sorted(Comparator.comparingLong(IntakeItem::acceptedAtMillis))
+                        .toList());
+    }
+
     private void take(List<KeyedRecord> records) {
+        takeItems(records.stream().map(IntakeItem::decode).flatMap(Optional::stream).toList());
+    }
+
+    private void takeItems(List<IntakeItem> items) {
         if (closed) {
             return;
         }
         boolean changed = false;
-        for (KeyedRecord stored : records) {
-            Optional<IntakeItem> item = IntakeItem.decode(stored);
-            if (item.isPresent()) {
-                changed |= take(item.get());
+        for (IntakeItem item : items) {
+            try {
+                changed |= take(item);
+            } catch (RuntimeException e) {
+                // The items behind it are taken up whatever is wrong with this one.
+                state.metrics().count("intake.failures");
+                EventLog.event("intake-failed").field("key", item.key()).error(e).error();
             }
         }
         if (changed) {
@@ -222,6 +250,11 @@
         WorkJob job = state.jobs().get(item.job());
         if (job == null) {
             cancelledEarly.putIfAbsent(item.job(), state.steadyMillis());
+            if (cancelledEarly.size() > MAX_CANCELLED_EARLY) {
+                String oldest = cancelledEarly.keySet().iterator().next();
+                cancelledEarly.remove(oldest);
+                toRemove.add(IntakeKind.CANCELLATION.key(oldest));
+            }
             return false;
         }
         boolean ends = !job.phase().ended();
@@ -234,7 +267,7 @@
     }
 
     private void removeOnceStored(String key) {
-        state.writer().whenStored(() -> taken.add(key));
+        state.writer().whenStored(() -> toRemove.add(key));
     }
 
     private void noteTakenUp(Submission submission) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -29,19 +30,58 @@
             new FleetView(new FleetConfiguration(1, List.of(QUEUE), List.of()), Set.of(), 0);
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
+    private final HoldingLog holding = new HoldingLog();
     private final ManualLoop loop = new ManualLoop();
     private final Submission job = JobSamples.single("j");
     private boolean deposed;
 
+    /** Executes appends at once, and answers those to one log when the test says so. */
+    private final class HoldingLog implements KeyedLog {
+        private final List<Runnable> answers = new ArrayList<>();
+        private String held = "";
+
+        void holdAppends(String topic) {
+            held = topic;
+        }
+
+        void answerAppends() {
+            held = "";
+            answers.forEach(Runnable::run);
+        }
+
+        @Override
+        public CompletableFuture<AppendOutcome> append(
+                String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+            CompletableFuture<AppendOutcome> done =
+                    log.append(topic, records, expectedEnd, timeout);
+            if (!topic.equals(held)) {
+                return done;
+            }
+            CompletableFuture<AppendOutcome> answer = new CompletableFuture<>();
+            answers.add(() -> done.thenAccept(answer::complete));
+            return answer;
+        }
+
+        @Override
+        public CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
+            return log.newest(topic, afterKey);
+        }
+
+        @Override
+        public CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait) {
+            return log.read(topic, from, wait);
+        }
+    }
+
     private Dispatcher claim() {
         ClaimAttempt attempt =
-                new ClaimAttempt(log, new DispatchClaim("here", "p"), loop.contact());
+                new ClaimAttempt(holding, new DispatchClaim("here", "p"), loop.contact());
         int end = log.records(JobStore.TOPIC).size();
         Dispatcher claimed =
                 new Dispatcher(
                         ((ClaimAttempt.Result.Won) attempt.run(end, epoch -> {}).join()).start(),
                         TERMS,
-                        log,
+                        holding,
                         loop,
                         loop.contact(),
                         () -> FLEET,
@@ -150,6 +190,41 @@
             assertThat(kept.jobs().get("j").submission().customer()).isEqualTo(job.customer());
         }
 
+        /** Guards against incident 24: a second job of the same name replaced the first one. */
+        @Test
+        void keepWhatWasHandedInFirstWhileNobodyDispatches() {
+            store(IntakeItem.of(job));
+            Submission later =
+                    new Submission("j", "queue", "someone else", "service", 1, job.work());
+            store(IntakeItem.of(later));
+
+            claim();
+            loop.advance(100);
+
+            JobStore.Content kept = JobStore.load(log).join();
+            assertThat(kept.jobs().get("j").submission().customer()).isEqualTo(job.customer());
+            loop.advance(TRIMMED_MILLIS);
+            assertThat(keysKept(IntakeItem.TOPIC)).isEmpty();
+        }
+
+        /** Guards against incident 24: a repeat that came during a removal ran again later. */
+        @Test
+        void areRemovedAgainIfTheyAreStoredDuringARemoval() {
+            Dispatcher dispatcher = claim();
+            store(IntakeItem.of(job));
+            log.onAppend(MemoryKeyedLog.Fault.NONE);
+            loop.advance(TRIMMED_MILLIS - 1_000);
+            holding.holdAppends(IntakeItem.TOPIC);
+            loop.advance(1_500);
+            store(IntakeItem.of(job));
+            loop.advance(100);
+            holding.answerAppends();
+            loop.advance(2 * TRIMMED_MILLIS);
+
+            assertThat(keysKept(IntakeItem.TOPIC)).isEmpty();
+            assertThat(view(dispatcher, "j")).isEqualTo(JobView.QUEUED);
+        }
+
         @Test
         void stayInTheirLogUntilTheyAreInTheLogOfJobs() {
             Dispatcher first = claim();
@@ -161,7 +236,7 @@
             log.onAppend(MemoryKeyedLog.Fault.NONE);
             first.close();
 
-            assertThat(keysKept(IntakeItem.TOPIC)).containsExactly("j/j");
+            assertThat(keysKept(IntakeItem.TOPIC)).containsExactly(IntakeItem.of(job).key());
             assertThat(view(claim(), "j")).isEqualTo(JobView.QUEUED);
         }
 
@@ -305,7 +380,7 @@
             // The second one takes the job up and removes it; the history of that is dropped.
             log.append(
                     IntakeItem.TOPIC,
-                    List.of(new KeyedRecord(IntakeKind.SUBMISSION.key("j"), new byte[0])),
+                    List.of(new KeyedRecord(IntakeItem.of(job).key(), new byte[0])),
                     KeyedLog.ANY_END,
                     Duration.ZERO);
             log.forgetHistory(IntakeItem.TOPIC);
@@ -315,6 +390,29 @@
             assertThat(failure(view)).isEqualTo(FailureType.NOT_DISPATCHER);
             assertThat(deposed).isTrue();
         }
+
+        /** Guards against incident 24: dropped history counted as a proof that nobody wrote. */
+        @Test
+        void areNotCalledUnknownAfterTheHistoryOfClaimsWasDropped() {
+            Dispatcher first = claim();
+            loop.advance(50);
+            claim();
+            log.forgetHistory(JobStore.TOPIC);
+
+            assertThat(failure(ask(first, "j"))).isEqualTo(FailureType.NOT_DISPATCHER);
+            assertThat(deposed).isTrue();
+        }
+
+        @Test
+        void areUnknownAfterTheHistoryWasDroppedIfNobodyElseHasClaimed() {
+            Dispatcher dispatcher = claim();
+            loop.advance(50);
+            log.forgetHistory(JobStore.TOPIC);
+            log.forgetHistory(IntakeItem.TOPIC);
+
+            assertThat(view(dispatcher, "j")).isEqualTo(JobView.UNKNOWN);
+            assertThat(deposed).isFalse();
+        }
     }
 
     @Nested
@@ -327,7 +425,7 @@
             store(new KeyedRecord("", bytes("{}")));
             store(new KeyedRecord("j/", bytes("{}")));
             store(new KeyedRecord("x/j", bytes("{}")));
-            store(new KeyedRecord("j/k", bytes("not JSON")));
+            store(new KeyedRecord("j/k/0", bytes("not JSON")));
             store(new KeyedRecord("j/k", bytes(nested)));
             store(new KeyedRecord("j/k", bytes("{\"work\":" + nested)));
             store(new KeyedRecord("j/k", IntakeItem.of(job).encode().value()));
