Answer each caller by its deadline, and never "not run" to a repeat of what may be stored

What callers could see: 503 for a repeat of a job whose first call was left without an answer and is stored later; a refusal although the second of two other entries could store the job; no answer at all if a step of an entry failed unexpectedly. Change: items without a known outcome are remembered for 30 s, the search ends with refusals of the caller's making only, each call has a timer at its deadline, a question to the log is shared for 0.3 s at most, entries that the log has lately served are asked first, and an entry stores 2 MiB at most while it hears of no dispatcher.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -97,7 +97,7 @@
         this.follower = follower;
         this.metrics = metrics;
         fleetExchange = new FleetExchange(follower, http, this::sayHello, loop);
-        intake = new IntakeWriter(log, http, neighbours(), loop, clocks, metrics);
+        intake = new IntakeWriter(log, http, surroundings(), loop, clocks, metrics);
         calls =
                 new JobCalls(
                         intake,
@@ -195,12 +195,13 @@
         return calls;
     }
 
-    private IntakeWriter.Neighbours neighbours() {
-        return new IntakeWriter.Neighbours(
+    private IntakeWriter.Surroundings surroundings() {
+        return new IntakeWriter.Surroundings(
                 follower::failing,
                 fleetExchange::reach,
-                () -> fleetExchange.alive(leader, others()),
-                job -> dispatcher != null && dispatcher.knows(job));
+                fleetExchange::served,
+                job -> dispatcher != null && dispatcher.knows(job),
+                () -> dispatcher != null || now() - leaderHeardMillis < SUSPECT_MILLIS);
     }
 
     /** Answers a call at once. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetExchange.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetExchange.java
@@ -35,7 +35,7 @@
     /** Without an answer of any entry to three rounds of questions this one counts as cut off. */
     private static final long CUT_OFF_MILLIS = 1_000;
 
-    /** The dispatcher is heard each 400 ms, and others are asked each 300 ms in an outage. */
+    /** Entries hear from the dispatcher each 400 ms, and ask others each 300 ms in an outage. */
     private static final long ALIVE_MILLIS = 1_500;
 
     /** How long the word of another entry counts that the log service serves it. */
@@ -47,6 +47,7 @@
     private final Executor loop;
     private long askedMillis = Long.MIN_VALUE / 2;
     private final Map<String, Long> heardMillis = new HashMap<>();
+    private final Map<String, Long> peersServedMillis = new HashMap<>();
     private boolean fetching;
     private volatile long askingSinceMillis = -1;
     private volatile long answeredMillis = Long.MIN_VALUE / 2;
@@ -78,12 +79,12 @@
                 askingSinceMillis = now;
             }
             askedMillis = now;
-            nearest(leader, others).forEach(ask);
+            chosen(leader, others).forEach(ask);
         }
     }
 
     /** Chooses the dispatcher, who was heard of last, and any other, who may be a new one. */
-    private List<String> nearest(String leader, List<String> others) {
+    private List<String> chosen(String leader, List<String> others) {
         List<String> ranked = new ArrayList<>(others);
         Collections.shuffle(ranked);
         ranked.sort(Comparator.comparingLong(peer -> -heardMillis.getOrDefault(peer, 0L)));
@@ -97,17 +98,25 @@
         return ranked.subList(0, Math.min(MAX_ASKED, ranked.size()));
     }
 
-    /** Chooses like {@link #nearest}, but only entries that were heard of lately. */
-    List<String> alive(String leader, List<String> others) {
+    /** Returns entries that have lately said that the log service serves them, latest first. */
+    List<String> served() {
         long since = now() - ALIVE_MILLIS;
-        return nearest(leader, others).stream()
-                .filter(peer -> heardMillis.getOrDefault(peer, Long.MIN_VALUE) >= since)
+        return peersServedMillis.entrySet().stream()
+                .filter(peer -> peer.getValue() >= since)
+                .sorted(Map.Entry.<String, Long>comparingByValue().reversed())
+                .limit(MAX_ASKED)
+                .map(Map.Entry::getKey)
                 .toList();
     }
 
     /** Takes note of what another entry said of itself. */
     void heard(PeerHello hello) {
         heardMillis.put(hello.address(), now());
+        if (hello.logServes()) {
+            peersServedMillis.put(hello.address(), now());
+        } else {
+            peersServedMillis.remove(hello.address());
+        }
         if (hello.fleetOffset() > follower.view().offset() && !fetching) {
             fetch(hello.address());
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeAppender.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeAppender.java
@@ -26,18 +26,21 @@
 
     private final KeyedLog log;
     private final Executor loop;
+    private final StoreContact clocks;
     private final Metrics metrics;
     private final List<Waiting> waiting = new ArrayList<>();
     private int calls;
     private boolean failing;
     private CompletableFuture<KeyedPage> probe;
+    private long probedMillis;
 
     /** Holds a record that was not sent yet, and who waits for it. */
     private record Waiting(KeyedRecord item, CompletableFuture<Void> stored) {}
 
-    IntakeAppender(KeyedLog log, Executor loop, Metrics metrics) {
+    IntakeAppender(KeyedLog log, Executor loop, StoreContact clocks, Metrics metrics) {
         this.log = log;
         this.loop = loop;
+        this.clocks = clocks;
         this.metrics = metrics;
     }
 
@@ -63,9 +66,15 @@
         return failing;
     }
 
-    /** Asks whether the log service answers; calls at the same time share one question. */
-    CompletableFuture<KeyedPage> probe() {
-        if (probe == null || probe.isDone()) {
+    /**
+     * Asks whether the log service answers; calls at about the same time share one question.
+     *
+     * @param maxAgeMillis a question that was put longer ago is not shared, in milliseconds
+     */
+    CompletableFuture<KeyedPage> probe(long maxAgeMillis) {
+        long now = clocks.now().steadyMillis();
+        if (probe == null || probe.isDone() || now - probedMillis > maxAgeMillis) {
+            probedMillis = now;
             probe = log.newest(IntakeItem.TOPIC, JobStore.LAST_KEY);
         }
         return probe;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeRoutes.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeRoutes.java
@@ -5,6 +5,8 @@
 import org.fescueloom.daemon.http.HttpCall;
 import org.fescueloom.daemon.http.HttpReply;
 import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.failure.FailureType;
+import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.work.Submission;
 
 /** Stores for other entries what the log service refuses to take from them. */
@@ -29,7 +31,12 @@
     }
 
     private CompletableFuture<HttpReply> submit(HttpCall call) {
-        return store(call, IntakeItem.of(call.read(Submission.class)));
+        Submission submission = call.read(Submission.class);
+        if (!submission.id().equals(call.path("id"))) {
+            throw new SchedulerException(
+                    FailureType.INVALID_FIELD, "the path names another job than the body");
+        }
+        return store(call, IntakeItem.of(submission));
     }
 
     private CompletableFuture<HttpReply> cancel(HttpCall call) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeWriter.java
@@ -1,15 +1,13 @@
 package org.fescueloom.daemon.dispatch;
 
-import java.net.ConnectException;
 import java.time.Duration;
-import java.util.EnumSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -18,7 +16,6 @@
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
-import org.fescueloom.failure.FailureBody;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Failures;
 import org.fescueloom.failure.Outcome;
@@ -34,10 +31,13 @@
     /** The longest item; the log service takes records of 256 KiB with their key. */
     static final int MAX_ITEM_BYTES = 250_000;
 
-    /** How long an answer of the log service is awaited; it answers in some 6 ms when healthy. */
+    /** What one entry stores at most while no dispatcher takes it up; a new one loads all of it. */
+    static final int MAX_WAITING_BYTES = 2 << 20;
+
+    /** How long an answer of the log service is awaited before another way is tried. */
     private static final long APPEND_MILLIS = 900;
 
-    /** How long a log service that has not answered lately is given to answer a read. */
+    /** How long a log service that has failed a call is given to answer a read. */
     private static final long PROBE_MILLIS = 300;
 
     /** How long another entry is given: one append, and the way there and back. */
@@ -46,54 +46,51 @@
     /** The pause before an item whose outcome is not known is stored again. */
     private static final long RETRY_MILLIS = 100;
 
-    /**
-     * A call with less time than this is likely the last one of its caller: a refused caller comes
-     * back after some 0.15 s and a third of what it has left, and not with too little left.
-     */
+    /** A caller with less time than this is unlikely to come back after a refusal. */
     private static final long LAST_CALL_MILLIS = 500;
 
-    /** The pause between the tries of such a call. */
+    /** The pause between the tries of a last call. */
     private static final long LAST_CALL_RETRY_MILLIS = 40;
 
-    private static final long RETRY_AFTER_MILLIS = 1_000;
+    /** The log service may execute an append seconds after its caller has given up. */
+    private static final long LATE_APPEND_MILLIS = 30_000;
 
-    /** After these another entry, or a later try, may store the item. */
-    private static final Set<FailureType> ANOTHER_MAY_SERVE =
-            EnumSet.of(
-                    FailureType.CUT_OFF,
-                    FailureType.DEADLINE_PASSED,
-                    FailureType.LOG_UNAVAILABLE,
-                    FailureType.LOG_UNDECIDED,
-                    FailureType.NOT_DISPATCHER,
-                    FailureType.OUTCOME_UNKNOWN);
+    /** Bounds what is remembered of items without a known outcome. */
+    private static final int MAX_UNDECIDED = 10_000;
+
+    private static final int FIRST_SERVER_ERROR = 500;
 
     private final IntakeAppender appender;
     private final HttpClient http;
-    private final Neighbours neighbours;
+    private final Surroundings surroundings;
     private final ScheduledExecutorService loop;
     private final StoreContact clocks;
     private final Metrics metrics;
+    private final Map<String, Long> undecidedSince = new LinkedHashMap<>();
+    private long waitingBytes;
 
     /**
      * Tells a writer what its entry knows; asked on the thread of the entry.
      *
-     * @param logFails whether the log service has failed this entry lately
+     * @param logFails whether the last read of this entry from the log service has failed
      * @param reach what this entry reaches
      * @param peers which entries to ask, the likeliest first
      * @param known whether a job is known here to be stored
+     * @param dispatched whether a dispatcher was heard of lately
      */
-    record Neighbours(
+    record Surroundings(
             BooleanSupplier logFails,
             Supplier<Reach> reach,
             Supplier<List<String>> peers,
-            Predicate<String> known) {}
+            Predicate<String> known,
+            BooleanSupplier dispatched) {}
 
     /**
      * Creates a writer.
      *
      * @param log the log service
      * @param http reaches other entries
-     * @param neighbours tells what the entry knows
+     * @param surroundings tells what the entry knows
      * @param loop the thread of the entry
      * @param clocks tells the time
      * @param metrics counts what is stored, refused and tried again
@@ -101,13 +98,13 @@
     IntakeWriter(
             KeyedLog log,
             HttpClient http,
-            Neighbours neighbours,
+            Surroundings surroundings,
             ScheduledExecutorService loop,
             StoreContact clocks,
             Metrics metrics) {
-        this.appender = new IntakeAppender(log, loop, metrics);
+        this.appender = new IntakeAppender(log, loop, clocks, metrics);
         this.http = http;
-        this.neighbours = neighbours;
+        this.surroundings = surroundings;
         this.loop = loop;
         this.clocks = clocks;
         this.metrics = metrics;
@@ -119,34 +116,50 @@
      * @param item what to store
      * @param waitMillis the longest time until the answer, in milliseconds
      * @return a future that completes once the item is stored; it fails with an outcome of "not
-     *     run" only if no append of it can have been or will be executed
+     *     run" only if no append that this entry knows of can have been or will be executed
      */
     CompletableFuture<Void> store(IntakeItem item, long waitMillis) {
-        return begin(new Storing(item, waitMillis, true));
+        return begin(new Call(item, waitMillis, true));
     }
 
     /** Stores an item for another entry: no further entries are asked. */
     CompletableFuture<Void> storeForPeer(IntakeItem item, long waitMillis) {
-        return begin(new Storing(item, waitMillis, false));
+        return begin(new Call(item, waitMillis, false));
     }
 
-    private CompletableFuture<Void> begin(Storing storing) {
-        if (storing.encoded.value().length > MAX_ITEM_BYTES) {
+    private CompletableFuture<Void> begin(Call call) {
+        if (call.encoded.value().length > MAX_ITEM_BYTES) {
             return CompletableFuture.failedFuture(
                     new SchedulerException(
                             FailureType.BODY_TOO_LARGE,
                             "a job takes at most " + MAX_ITEM_BYTES + " bytes"));
         }
-        loop.execute(storing::attempt);
-        return storing.result;
+        loop.execute(call::begin);
+        return call.result;
     }
 
     private long now() {
         return clocks.now().steadyMillis();
     }
 
+    private boolean mayBeStoredLate(String key) {
+        Long since = undecidedSince.get(key);
+        return since != null && now() - since < LATE_APPEND_MILLIS;
+    }
+
+    private void rememberUndecided(String key) {
+        undecidedSince.remove(key);
+        undecidedSince.put(key, now());
+        Iterator<Long> oldest = undecidedSince.values().iterator();
+        while (undecidedSince.size() > MAX_UNDECIDED
+                || oldest.hasNext() && now() - oldest.next() >= LATE_APPEND_MILLIS) {
+            undecidedSince.remove(undecidedSince.keySet().iterator().next());
+            oldest = undecidedSince.values().iterator();
+        }
+    }
+
     /** Follows one item until it is stored or its caller has no time left; confined to the loop. */
-    private final class Storing {
+    private final class Call {
         private final CompletableFuture<Void> result = new CompletableFuture<>();
         private final IntakeItem item;
         private final KeyedRecord encoded;
@@ -156,116 +169,117 @@
         private boolean maybeStored;
         private int tries;
 
-        Storing(IntakeItem item, long waitMillis, boolean mayAskPeers) {
+        Call(IntakeItem item, long waitMillis, boolean mayAskPeers) {
             this.item = item;
             this.encoded = item.encode();
             this.mayAskPeers = mayAskPeers;
             deadline = started + waitMillis;
         }
 
-        void attempt() {
+        void begin() {
+            maybeStored = mayBeStoredLate(encoded.key());
+            loop.schedule(() -> giveUp(CallFailures.timeIsOver()), left(), TimeUnit.MILLISECONDS);
+            attempt();
+        }
+
+        private void attempt() {
             if (result.isDone()) {
                 return;
             }
-            if (item.kind() == IntakeKind.SUBMISSION && neighbours.known().test(item.job())) {
+            if (item.kind() == IntakeKind.SUBMISSION && surroundings.known().test(item.job())) {
                 result.complete(null);
-            } else if (neighbours.reach().get() == Reach.CUT_OFF) {
-                giveUp(JobForwarder.cutOff());
+            } else if (surroundings.reach().get() == Reach.CUT_OFF) {
+                giveUp(CallFailures.cutOff());
             } else if (left() <= 0) {
-                giveUp(JobForwarder.timeIsOver());
-            } else if (appender.failing() || neighbours.logFails().getAsBoolean()) {
+                giveUp(CallFailures.timeIsOver());
+            } else if (tooMuchWaits()) {
+                giveUp(
+                        new SchedulerException(
+                                FailureType.OVERLOADED, "too many jobs wait for a dispatcher"));
+            } else if (appender.failing() || surroundings.logFails().getAsBoolean()) {
                 probe();
             } else {
                 append();
             }
         }
 
-        /** Finds out whether the log service answers before an append may be left undecided. */
+        private boolean tooMuchWaits() {
+            if (surroundings.dispatched().getAsBoolean()) {
+                waitingBytes = 0;
+            }
+            return waitingBytes >= MAX_WAITING_BYTES;
+        }
+
+        /** Asks the log service for an answer before an append may be left without one. */
         private void probe() {
-            CompletableFuture<Void> answered = new CompletableFuture<>();
-            appender.probe()
+            Step step = new Step(this::refusedByLog);
+            appender.probe(PROBE_MILLIS)
                     .whenCompleteAsync(
                             (page, error) -> {
-                                if (error == null) {
-                                    answered.complete(null);
-                                } else {
-                                    answered.completeExceptionally(error);
+                                if (error != null) {
+                                    step.fail(unavailable(error));
+                                } else if (step.end()) {
+                                    append();
                                 }
                             },
                             loop);
-            answered.whenComplete(
-                    (v, error) -> {
-                        if (error == null) {
-                            append();
-                        } else {
-                            failed(unavailable(Failures.causeOf(error).getMessage()));
-                        }
-                    });
-            loop.schedule(
-                    () ->
-                            answered.completeExceptionally(
-                                    new TimeoutException("the log has not answered")),
+            step.failAfter(
                     share(PROBE_MILLIS),
-                    TimeUnit.MILLISECONDS);
+                    () -> CallFailures.logUnavailable("the log has not answered a read"));
         }
 
-        /**
-         * Appends the item; goes on without the answer if it takes long, and takes it if it comes.
-         */
+        /** Appends the item; an answer counts even if it comes after the next step has begun. */
         private void append() {
             tries++;
             CompletableFuture<Void> appended = appender.append(encoded);
-            Way way = new Way(this::failed);
+            Step step = new Step(this::refusedByLog);
             appended.whenComplete(
                     (v, error) -> {
                         if (error == null) {
-                            stored("");
+                            waitingBytes += encoded.value().length;
+                            stored(null);
                         } else {
-                            way.end(Failures.of(error, FailureType.LOG_UNDECIDED));
+                            step.fail(Failures.of(error, FailureType.LOG_UNDECIDED));
                         }
                     });
-            loop.schedule(
-                    () -> {
-                        boolean neverSent = appender.withdraw(appended);
-                        way.end(
-                                neverSent
-                                        ? unavailable("the log is busy")
-                                        : undecided("the log has not answered"));
-                    },
+            step.failAfter(
                     share(APPEND_MILLIS),
-                    TimeUnit.MILLISECONDS);
+                    () ->
+                            appender.withdraw(appended)
+                                    ? CallFailures.logUnavailable("the log is busy")
+                                    : CallFailures.logUndecided("the log has not answered"));
         }
 
-        private void failed(SchedulerException cause) {
-            note(cause);
-            boolean ask = mayAskPeers && neighbours.reach().get() == Reach.SERVED;
-            List<String> peers = ask ? neighbours.peers().get() : List.of();
-            askNext(peers.iterator(), cause);
+        private void refusedByLog(SchedulerException refusal) {
+            note(refusal);
+            boolean ask = mayAskPeers && surroundings.reach().get() == Reach.SERVED;
+            List<String> peers = ask ? surroundings.peers().get() : List.of();
+            askNext(peers.iterator(), refusal);
         }
 
-        private void askNext(Iterator<String> peers, SchedulerException cause) {
-            if (!peers.hasNext() || left() <= 0 || result.isDone()) {
-                later(cause);
+        private void askNext(Iterator<String> peers, SchedulerException refusal) {
+            if (!peers.hasNext() || left() <= 0) {
+                later(refusal);
                 return;
             }
             tries++;
             String peer = peers.next();
             long timeout = share(PEER_MILLIS);
-            Way way = new Way(refusal -> refused(refusal, peers));
+            Step step = new Step(failure -> refusedByPeer(failure, peers));
             send(peer, timeout)
                     .whenCompleteAsync(
                             (answer, error) -> {
-                                if (error == null && answer.isSuccess()) {
+                                if (error != null) {
+                                    step.fail(CallFailures.withoutAnswer(error));
+                                } else if (answer.isSuccess()) {
                                     stored(peer);
                                 } else {
-                                    way.end(refusal(answer, error));
+                                    step.fail(CallFailures.of(answer));
                                 }
                             },
                             loop);
-            loop.schedule(
-                    () -> way.end(undecided("another entry has not answered")),
-                    timeout,
-                    TimeUnit.MILLISECONDS);
+            step.failAfter(
+                    timeout, () -> CallFailures.logUndecided("another entry has not answered"));
         }
 
         private CompletableFuture<HttpAnswer> send(String peer, long timeout) {
@@ -277,39 +291,44 @@
                     Duration.ofMillis(Math.max(1, left())));
         }
 
-        private void refused(SchedulerException refusal, Iterator<String> peers) {
+        private void refusedByPeer(SchedulerException refusal, Iterator<String> peers) {
             note(refusal);
-            if (ANOTHER_MAY_SERVE.contains(refusal.type())) {
-                askNext(peers, refusal);
-            } else {
+            if (refusal.type().status() < FIRST_SERVER_ERROR) {
                 giveUp(refusal);
+            } else {
+                askNext(peers, refusal);
             }
         }
 
-        private void note(SchedulerException cause) {
-            maybeStored |= cause.type().outcome() != Outcome.NOT_RUN;
+        private void note(SchedulerException refusal) {
+            maybeStored |= refusal.type().outcome() != Outcome.NOT_RUN;
         }
 
         /** Tries again if the caller cannot, or if an append may have been executed. */
-        private void later(SchedulerException cause) {
+        private void later(SchedulerException refusal) {
             boolean lastCall = deadline - started < LAST_CALL_MILLIS;
             if (maybeStored) {
-                // The answer to an append that is under way may still come.
-                again(cause, Math.max(0, Math.min(RETRY_MILLIS, left())));
+                again(refusal, RETRY_MILLIS);
             } else if (lastCall && left() > 2 * LAST_CALL_RETRY_MILLIS) {
                 // An append that is cut short would leave the outcome unknown.
-                again(cause, LAST_CALL_RETRY_MILLIS);
+                again(refusal, LAST_CALL_RETRY_MILLIS);
             } else {
-                giveUp(unavailable(cause.getMessage()));
+                giveUp(CallFailures.logUnavailable(refusal.getMessage()));
             }
         }
 
-        private void again(SchedulerException cause, long pause) {
-            metrics.countRetry(cause.type());
-            loop.schedule(this::attempt, pause, TimeUnit.MILLISECONDS);
+        private void again(SchedulerException refusal, long pauseMillis) {
+            metrics.countRetry(refusal.type());
+            loop.schedule(this::attempt, pauseMillis, TimeUnit.MILLISECONDS);
         }
 
         private void giveUp(SchedulerException refusal) {
+            if (result.isDone()) {
+                return;
+            }
+            if (maybeStored) {
+                rememberUndecided(encoded.key());
+            }
             result.completeExceptionally(
                     maybeStored
                             ? new SchedulerException(
@@ -321,6 +340,7 @@
         }
 
         private void stored(String through) {
+            undecidedSince.remove(encoded.key());
             if (result.isDone()) {
                 return;
             }
@@ -329,7 +349,7 @@
                     .field("job", item.job())
                     .field("took", now() - started)
                     .field("tries", tries)
-                    .field("through", through.isEmpty() ? null : through)
+                    .field("through", through)
                     .info();
             result.complete(null);
         }
@@ -338,44 +358,47 @@
             return deadline - now();
         }
 
-        /** Returns how long one try may take, so that another way remains after it. */
+        /** Returns how long one step may take, so that time for another one remains. */
         private long share(long mostMillis) {
             return Math.max(1, Math.min(mostMillis, left() / 2));
         }
-    }
 
-    /** Goes on once, whether a try has failed or only takes long. */
-    private static final class Way {
-        private final Consumer<SchedulerException> next;
-        private boolean over;
+        /** Is one try to store the item; the next one begins when this one fails or takes long. */
+        private final class Step {
+            private final Consumer<SchedulerException> next;
+            private boolean over;
 
-        Way(Consumer<SchedulerException> next) {
-            this.next = next;
-        }
+            Step(Consumer<SchedulerException> next) {
+                this.next = next;
+            }
 
-        void end(SchedulerException cause) {
-            if (!over) {
+            /** Ends the step; tells whether it had not ended before. */
+            boolean end() {
+                boolean first = !over && !result.isDone();
                 over = true;
-                next.accept(cause);
+                return first;
             }
-        }
-    }
 
-    private static SchedulerException unavailable(String detail) {
-        return new SchedulerException(FailureType.LOG_UNAVAILABLE, detail, RETRY_AFTER_MILLIS);
-    }
+            void fail(SchedulerException failure) {
+                if (end()) {
+                    next.accept(failure);
+                }
+            }
 
-    private static SchedulerException undecided(String detail) {
-        return new SchedulerException(FailureType.LOG_UNDECIDED, detail);
+            void failAfter(long millis, Supplier<SchedulerException> failure) {
+                loop.schedule(
+                        () -> {
+                            if (!over && !result.isDone()) {
+                                fail(failure.get());
+                            }
+                        },
+                        millis,
+                        TimeUnit.MILLISECONDS);
+            }
+        }
     }
 
-    private static SchedulerException refusal(HttpAnswer answer, Throwable error) {
-        if (error != null) {
-            Throwable reason = Failures.causeOf(error);
-            String detail = "another entry has not answered: " + reason;
-            return reason instanceof ConnectException ? unavailable(detail) : undecided(detail);
-        }
-        FailureBody failure = JobForwarder.readFailure(answer);
-        return new SchedulerException(failure.error(), failure.detail(), RETRY_AFTER_MILLIS);
+    private static SchedulerException unavailable(Throwable error) {
+        return CallFailures.logUnavailable(String.valueOf(Failures.causeOf(error).getMessage()));
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobForwarder.java
@@ -11,10 +11,8 @@
 import org.fescueloom.daemon.http.HttpAnswer;
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.metrics.Metrics;
-import org.fescueloom.failure.FailureBody;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Failures;
-import org.fescueloom.failure.Outcome;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.work.JobView;
 
@@ -106,13 +104,13 @@
 
         void attempt() {
             if (reach.get() == Reach.CUT_OFF) {
-                result.completeExceptionally(cutOff());
+                result.completeExceptionally(CallFailures.cutOff());
                 return;
             }
             String target = dispatcher.get();
             long left = deadline - Clocks.monotonicMillis();
             if (left <= 0) {
-                result.completeExceptionally(timeIsOver());
+                result.completeExceptionally(CallFailures.timeIsOver());
             } else if (target.isEmpty()) {
                 later(Dispatcher.notDispatcher());
             } else {
@@ -136,12 +134,10 @@
                 result.complete(answer);
                 return;
             }
-            FailureBody failure = readFailure(answer);
-            SchedulerException cause =
-                    new SchedulerException(failure.error(), failure.detail(), RETRY_AFTER_MILLIS);
+            SchedulerException cause = CallFailures.of(answer);
             boolean downForAll =
-                    failure.error() == FailureType.LOG_UNAVAILABLE && reach.get() == Reach.LOG_DOWN;
-            if (ANOTHER_MAY_SERVE.contains(failure.error()) && !downForAll) {
+                    cause.type() == FailureType.LOG_UNAVAILABLE && reach.get() == Reach.LOG_DOWN;
+            if (ANOTHER_MAY_SERVE.contains(cause.type()) && !downForAll) {
                 later(cause);
             } else {
                 result.completeExceptionally(cause);
@@ -157,25 +153,4 @@
             }
         }
     }
-
-    static SchedulerException timeIsOver() {
-        return new SchedulerException(
-                FailureType.DEADLINE_PASSED, "the time of the caller is over", RETRY_AFTER_MILLIS);
-    }
-
-    static SchedulerException cutOff() {
-        return new SchedulerException(
-                FailureType.CUT_OFF,
-                "neither the log service nor another entry answers",
-                RETRY_AFTER_MILLIS);
-    }
-
-    static FailureBody readFailure(HttpAnswer answer) {
-        try {
-            return answer.read(FailureBody.class);
-        } catch (SchedulerException e) {
-            return new FailureBody(
-                    FailureType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, "status " + answer.status());
-        }
-    }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeWriterTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeWriterTest.java
@@ -29,6 +29,9 @@
     private static final long WAIT_MILLIS = 2_500;
     private static final long TEST_SECONDS = 20;
 
+    /** A step has some 200 bytes in its record. */
+    private static final int STEP_BYTES = 200;
+
     /** Too little for a caller to come back. */
     private static final long LITTLE_MILLIS = 250;
 
@@ -42,12 +45,17 @@
     private volatile Reach reach = Reach.SERVED;
     private volatile boolean logFails;
     private volatile boolean known;
+    private volatile boolean dispatched = true;
     private final IntakeWriter writer =
             new IntakeWriter(
                     counted,
                     http,
-                    new IntakeWriter.Neighbours(
-                            () -> logFails, () -> reach, () -> peers, job -> known),
+                    new IntakeWriter.Surroundings(
+                            () -> logFails,
+                            () -> reach,
+                            () -> peers,
+                            job -> known,
+                            () -> dispatched),
                     loop,
                     StoreContact.onSystemClocks(),
                     new Metrics());
@@ -128,7 +136,7 @@
         void areStoredBeforeTheirCallerIsAnswered() {
             CompletableFuture<Void> call = writer.store(item, WAIT_MILLIS);
 
-            await(call.thenRun(() -> assertThat(keysStored()).containsExactly("j/j")));
+            await(call.thenRun(() -> assertThat(keysStored()).containsExactly(item.key())));
             assertThat(peerCalls.get()).isZero();
         }
 
@@ -153,10 +161,36 @@
             assertThat(keysStored()).isEmpty();
         }
 
+        @Test
+        void waitForADispatcherUpToABound() {
+            dispatched = false;
+            List<FailureType> failures = new ArrayList<>();
+            for (int i = 0; i < 40 && failures.isEmpty(); i++) {
+                WorkSpec work = JobSamples.single("j").work();
+                WorkSpec large = new WorkSpec(work.payload(), many(work, 100_000), 0, 0, 1);
+                writer.store(
+                                IntakeItem.of(
+                                        new Submission("j" + i, "queue", "c", "service", 0, large)),
+                                WAIT_MILLIS)
+                        .exceptionally(
+                                error -> {
+                                    failures.add(Failures.typeOf(error));
+                                    return null;
+                                })
+                        .orTimeout(TEST_SECONDS, TimeUnit.SECONDS)
+                        .join();
+            }
+
+            assertThat(failures).containsOnly(FailureType.OVERLOADED);
+            dispatched = true;
+            await(writer.store(item, WAIT_MILLIS));
+        }
+
         @Test
         void thatTheLogCannotHoldAreRefusedAtOnce() {
             WorkSpec work = JobSamples.single("j").work();
-            WorkSpec huge = new WorkSpec(work.payload(), many(work), 0, 0, 1);
+            WorkSpec huge =
+                    new WorkSpec(work.payload(), many(work, IntakeWriter.MAX_ITEM_BYTES), 0, 0, 1);
             Submission large = new Submission("j", "queue", "c", "service", 0, huge);
 
             assertThat(failure(writer.store(IntakeItem.of(large), WAIT_MILLIS)))
@@ -164,9 +198,10 @@
             assertThat(keysStored()).isEmpty();
         }
 
-        private List<StepSpec> many(WorkSpec work) {
+        private List<StepSpec> many(WorkSpec work, int bytes) {
             List<StepSpec> steps = new ArrayList<>();
-            while (steps.size() * 50 < IntakeWriter.MAX_ITEM_BYTES) {
+            int each = JobSamples.single("j").work().steps().size() * STEP_BYTES;
+            while (steps.size() * each < bytes) {
                 steps.addAll(work.steps());
             }
             return steps;
@@ -185,6 +220,17 @@
             assertThat(peerCalls.get()).isEqualTo(1);
         }
 
+        @Test
+        void isReachedThroughTheNextIfOneIsOverloaded() {
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+            servePeer(call -> call == 1 ? refused(FailureType.OVERLOADED) : stored());
+            peers = List.of(peers.get(0), peers.get(0));
+
+            await(writer.store(item, WAIT_MILLIS));
+
+            assertThat(peerCalls.get()).isEqualTo(2);
+        }
+
         @Test
         void isReachedThroughTheNextIfOneIsGone() {
             log.onAppend(MemoryKeyedLog.Fault.REFUSED);
@@ -314,7 +360,7 @@
             await(writer.store(item, WAIT_MILLIS));
 
             assertThat(counted.appends.get()).isEqualTo(2);
-            assertThat(keysStored()).containsExactly("j/j");
+            assertThat(keysStored()).containsExactly(item.key());
         }
 
         @Test
@@ -351,6 +397,21 @@
             assertThat(keysStored()).isNotEmpty();
         }
 
+        /** Guards against incident 24: a repeat was told "not run" of a job that ran later. */
+        @Test
+        void areNotSaidNotToHaveRunToARepeat() {
+            log.onAppend(MemoryKeyedLog.Fault.LATE);
+            assertThat(failure(writer.store(item, 300)).outcome()).isEqualTo(Outcome.UNKNOWN);
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+
+            assertThat(failure(writer.store(item, 300)).outcome()).isEqualTo(Outcome.UNKNOWN);
+
+            log.onAppend(MemoryKeyedLog.Fault.NONE);
+            await(writer.store(item, WAIT_MILLIS));
+            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+            assertThat(failure(writer.store(item, 300)).outcome()).isEqualTo(Outcome.NOT_RUN);
+        }
+
         @Test
         void ofAnotherEntryAreNeverSaidNotToHaveRun() {
             log.onAppend(MemoryKeyedLog.Fault.REFUSED);
@@ -371,7 +432,7 @@
             assertThat(type.outcome()).isEqualTo(Outcome.NOT_RUN);
             counted.holdFirst = 0;
             counted.held.forEach(held -> held.complete(new AppendOutcome(true, 1)));
-            assertThat(keysStored()).doesNotContain("j/j");
+            assertThat(keysStored()).doesNotContain(item.key());
         }
     }
 
