--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetCopy.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetCopy.java
@@ -9,11 +9,11 @@
  * @param records the records, without those that were removed, not null
  */
 record FleetCopy(long offset, List<KeyedRecord> records) {
-    private static final long MAX_OFFSET = 1L << 53;
-
     /** What is known before anything was read. */
     static final FleetCopy EMPTY = new FleetCopy(0, List.of());
 
+    private static final long MAX_OFFSET = 1L << 53;
+
     /** Copies the list. */
     FleetCopy {
         requireOffset(offset);
