Go on dispatching after a round that failed

What callers could see: no job starts any more, while the dispatcher lives and is not replaced. Change: the round is logged and counted, and the next one comes. Measured: DispatcherTest$Starting#goesOnAfterARoundThatFailed fails without the change and passes with it.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -160,6 +160,18 @@
         if (closed) {
             return;
         }
+        try {
+            round();
+        } catch (RuntimeException e) {
+            // A dispatcher that lives and does nothing would not be replaced.
+            state.metrics().count("dispatcher.round-failures");
+            EventLog.event("internal-failure").field("in", "dispatcher").error(e).error();
+        } finally {
+            loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void round() {
         long now = state.steadyMillis();
         state.agents().values().forEach(agent -> checkAgent(agent, now));
         stuckRuns.stopAll(now);
@@ -171,7 +183,6 @@
         plan();
         state.writer().flush();
         state.agents().values().forEach(orders::answerIfNeeded);
-        loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void checkAgent(AgentView agent, long now) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -38,6 +38,7 @@
 
     private FleetView fleet = new FleetView(CONFIGURATION, Set.of(), 0);
     private boolean deposed;
+    private boolean failing;
 
     private Dispatcher claim() {
         ClaimAttempt attempt =
@@ -52,7 +53,7 @@
                         log,
                         loop,
                         loop.contact(),
-                        () -> fleet,
+                        this::fleet,
                         () -> List.of("here"),
                         new Metrics(),
                         () -> deposed = true);
@@ -64,6 +65,13 @@
         return JobSamples.job(id, tasks, 1_000, gang, true);
     }
 
+    private FleetView fleet() {
+        if (failing) {
+            throw new IllegalStateException("by the test");
+        }
+        return fleet;
+    }
+
     /** Stores an item as any entry does. */
     private void store(IntakeItem item) {
         log.append(
@@ -105,6 +113,19 @@
                     : List.of();
         }
 
+        /** Guards against incident 24: one odd value stopped a loop for good. */
+        @Test
+        void goesOnAfterARoundThatFailed() {
+            Dispatcher dispatcher = claim();
+            PlayedAgent agent = new PlayedAgent("a", loop);
+            failing = true;
+            loop.advance(1_000);
+            failing = false;
+            accept(dispatcher, job("j", 1, false));
+
+            assertThat(agent.exchange(dispatcher).starts()).hasSize(1);
+        }
+
         @Test
         void repeatsAnOrderWhoseAnswerWasLost() {
             Dispatcher dispatcher = claim();
