Let the test of removals refuse one log only

Cause: with the removal sent before the copy was stored, a trial, all 23 tests of the intake passed: the test refused appends to both logs, so that the removal failed as well. Change: the test refuses appends to the log of jobs alone. Measured: it fails with that mechanism taken out, and passes on the code.

--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
@@ -11,6 +11,7 @@
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Failures;
+import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.fleet.FleetConfiguration;
 import org.fescueloom.fleet.QueuePolicy;
 import org.fescueloom.work.JobView;
@@ -35,10 +36,15 @@
     private final Submission job = JobSamples.single("j");
     private boolean deposed;
 
-    /** Executes appends at once, and answers those to one log when the test says so. */
+    /** Refuses appends to one log, or answers them when the test says so. */
     private final class HoldingLog implements KeyedLog {
         private final List<Runnable> answers = new ArrayList<>();
         private String held = "";
+        private String refused = "";
+
+        void refuseAppends(String topic) {
+            refused = topic;
+        }
 
         void holdAppends(String topic) {
             held = topic;
@@ -52,6 +58,10 @@
         @Override
         public CompletableFuture<AppendOutcome> append(
                 String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+            if (topic.equals(refused)) {
+                return CompletableFuture.failedFuture(
+                        new SchedulerException(FailureType.LOG_UNAVAILABLE, "by the test"));
+            }
             CompletableFuture<AppendOutcome> done =
                     log.append(topic, records, expectedEnd, timeout);
             if (!topic.equals(held)) {
@@ -228,12 +238,12 @@
         @Test
         void stayInTheirLogUntilTheyAreInTheLogOfJobs() {
             Dispatcher first = claim();
-            log.onAppend(MemoryKeyedLog.Fault.NONE);
+            loop.advance(100);
             store(IntakeItem.of(job));
-            log.onAppend(MemoryKeyedLog.Fault.REFUSED);
+            holding.refuseAppends(JobStore.TOPIC);
             loop.advance(2 * TRIMMED_MILLIS);
             assertThat(view(first, "j")).isEqualTo(JobView.QUEUED);
-            log.onAppend(MemoryKeyedLog.Fault.NONE);
+            holding.refuseAppends("");
             first.close();
 
             assertThat(keysKept(IntakeItem.TOPIC)).containsExactly(IntakeItem.of(job).key());
