Run three properties that no run had carried out

Change: the annotation, as JobBookTest has it. Measured: all three properties run and pass (300, 200 and the tries of the third).

--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import org.fescueloom.work.Resources;
 import org.fescueloom.work.StepSpec;
@@ -361,6 +362,7 @@
     }
 
     @Nested
+    @Group
     class Room {
         /** Whatever waits, no upstream is given more than it has. */
         @Property(tries = 300, seed = "23")
--- a/fescueloom-core/src/test/java/org/fescueloom/work/WorkJobTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/work/WorkJobTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import org.fescueloom.json.Json;
 import org.junit.jupiter.api.Nested;
@@ -75,6 +76,7 @@
     }
 
     @Nested
+    @Group
     class Form {
         /** Drives a job by random ends and compares it with what is read back. */
         @Property(tries = 200, seed = "17")
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/settings/SettingsLoaderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/settings/SettingsLoaderTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import org.fescueloom.json.Json;
 import org.junit.jupiter.api.Nested;
@@ -73,6 +74,7 @@
     }
 
     @Nested
+    @Group
     class Refused {
         @Test
         void namesEveryFaultWithPathValueAndWhatIsAllowed() {
