Make the cost of a scheduling round follow the size of the fleet

Cause: to find what to stop for an urgent unit, the round tried the whole placement again after each running unit that it added to the victims, and once more for each that it might spare. An entry has 0.27 of a core, and is suspected after 1.4 s of silence: a burst of urgent jobs cost the dispatcher its claim, and each new one met the same burst. Besides, each report with ended runs started a round of its own, so a gang of eight caused eight rounds. Ruled out: the preference of the placement (trials without samples of speed and with other packing orders take as long). Change: FitCounter counts the tasks that fit on each upstream, in each rack and in all; a victim changes the counts of its own upstreams only. Running units are sorted once a round, and only if an urgent unit does not fit. The ledger knows the upstreams of a rack. Rounds that reports ask for are put off to the end of the event loop, so that one serves all reports that wait.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/CapacityLedger.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/CapacityLedger.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -23,7 +22,7 @@
     private final Map<String, UpstreamCapacity> upstreamsByAgent = new HashMap<>();
     private final Map<String, Resources> freeByAgent = new HashMap<>();
     private final Map<String, Resources> promisedByAgent = new HashMap<>();
-    private final Set<String> racks = new HashSet<>();
+    private final Map<String, List<UpstreamCapacity>> upstreamsByRack = new HashMap<>();
 
     /**
      * Creates a ledger.
@@ -35,21 +34,26 @@
             upstreamsByAgent.put(upstream.agent(), upstream);
             freeByAgent.put(upstream.agent(), upstream.free());
             promisedByAgent.put(upstream.agent(), upstream.promised());
-            racks.add(upstream.rack());
+            upstreamsByRack
+                    .computeIfAbsent(upstream.rack(), rack -> new ArrayList<>())
+                    .add(upstream);
         }
     }
 
     /** Returns the racks of all upstreams. */
     Set<String> racks() {
-        return racks;
+        return upstreamsByRack.keySet();
     }
 
     /** Returns the upstreams of a service in a rack, or in any rack if {@code rack} is null. */
     List<UpstreamCapacity> upstreams(String service, String rack) {
+        Collection<UpstreamCapacity> searched =
+                rack == null
+                        ? upstreamsByAgent.values()
+                        : upstreamsByRack.getOrDefault(rack, List.of());
         List<UpstreamCapacity> found = new ArrayList<>();
-        for (UpstreamCapacity upstream : upstreamsByAgent.values()) {
-            if (upstream.service().equals(service)
-                    && (rack == null || upstream.rack().equals(rack))) {
+        for (UpstreamCapacity upstream : searched) {
+            if (upstream.service().equals(service)) {
                 found.add(upstream);
             }
         }
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/TaskScheduler.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/TaskScheduler.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Plans one scheduling round.
@@ -24,7 +22,7 @@
  */
 public final class TaskScheduler {
     /** The most urgent priority, the only one whose waiting units may stop running units. */
-    private static final int PREEMPTING_PRIORITY = 0;
+    public static final int PREEMPTING_PRIORITY = 0;
 
     private TaskScheduler() {}
 
@@ -42,9 +40,8 @@
             Collection<UpstreamCapacity> upstreams) {
         CapacityLedger ledger = new CapacityLedger(upstreams);
         UnitPlacer placer = new UnitPlacer(ledger);
-        VictimSearch victimSearch = new VictimSearch(placer, ledger);
+        VictimSearch victimSearch = new VictimSearch(placer, running);
         List<Assignment> starts = new ArrayList<>();
-        Set<RunningUnit> stoppable = new HashSet<>(running);
         List<RunningUnit> stops = new ArrayList<>();
         for (WaitingUnit unit : sortByRank(waiting)) {
             Map<Integer, String> agentByTaskIndex =
@@ -56,10 +53,7 @@
             if (agentByTaskIndex.size() < unit.taskIndexes().size()
                     && unit.priority() == PREEMPTING_PRIORITY) {
                 WaitingUnit unplaced = withoutPlaced(unit, agentByTaskIndex);
-                List<RunningUnit> victims =
-                        reserveWithStops(unplaced, stoppable, ledger, placer, victimSearch);
-                stoppable.removeAll(victims);
-                stops.addAll(victims);
+                stops.addAll(reserveWithStops(unplaced, ledger, placer, victimSearch));
             }
         }
         return new SchedulePlan(starts, stops);
@@ -84,16 +78,12 @@
      * lower rank takes it.
      */
     private static List<RunningUnit> reserveWithStops(
-            WaitingUnit unit,
-            Set<RunningUnit> stoppable,
-            CapacityLedger ledger,
-            UnitPlacer placer,
-            VictimSearch victimSearch) {
+            WaitingUnit unit, CapacityLedger ledger, UnitPlacer placer, VictimSearch victimSearch) {
         Map<Integer, String> agentByTaskIndex =
                 placer.findUpstreams(unit, CapacityLedger.CapacityKind.PROMISED);
         List<RunningUnit> victims = List.of();
         if (agentByTaskIndex.size() < unit.taskIndexes().size()) {
-            victims = victimSearch.search(unit, stoppable);
+            victims = victimSearch.choose(unit);
             for (RunningUnit victim : victims) {
                 victim.resources().forEach(ledger::addPromised);
             }
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
@@ -70,6 +70,20 @@
         this.ledger = ledger;
     }
 
+    /** Returns a counter of the tasks of a unit that fit into the promised capacity. */
+    FitCounter promisedFits(WaitingUnit unit) {
+        return new FitCounter(
+                unit,
+                waitsForRack(unit),
+                candidates(unit, null),
+                agent -> ledger.capacity(agent, CapacityLedger.CapacityKind.PROMISED));
+    }
+
+    /** Tells whether all tasks of the unit of a counter fit, by the rules of this placer. */
+    boolean allFit(FitCounter counter) {
+        return counter.allFit(ledger.racks());
+    }
+
     /**
      * Finds an upstream for every task of a gang, or for as many single tasks as fit.
      *
@@ -79,18 +93,9 @@
      *     can
      */
     Map<Integer, String> findUpstreams(WaitingUnit unit, CapacityLedger.CapacityKind kind) {
-        return findUpstreams(unit, agent -> ledger.capacity(agent, kind));
-    }
-
-    /**
-     * Finds upstreams as {@link #findUpstreams(WaitingUnit, CapacityLedger.CapacityKind)} does. A
-     * function returns the capacity of the upstream of each agent.
-     */
-    Map<Integer, String> findUpstreams(WaitingUnit unit, Function<String, Resources> capacity) {
+        Function<String, Resources> capacity = agent -> ledger.capacity(agent, kind);
         StepSpec spec = unit.spec();
-        double rackWaitMillis =
-                Math.max(MIN_RACK_WAIT_MILLIS, RACK_WAIT_FACTOR * spec.estimateMillis());
-        boolean waitsForRack = unit.millisSinceReady() < rackWaitMillis;
+        boolean waitsForRack = waitsForRack(unit);
         // A data rack without any upstream is ignored; the unit does not wait for that rack.
         if (!spec.dataRack().isEmpty() && ledger.racks().contains(spec.dataRack())) {
             Map<Integer, String> inDataRack = findInRack(unit, spec.dataRack(), capacity);
@@ -107,6 +112,13 @@
         return findInRack(unit, null, capacity);
     }
 
+    /** Tells whether a unit may not be placed outside its preferred rack yet. */
+    private static boolean waitsForRack(WaitingUnit unit) {
+        double rackWaitMillis =
+                Math.max(MIN_RACK_WAIT_MILLIS, RACK_WAIT_FACTOR * unit.spec().estimateMillis());
+        return unit.millisSinceReady() < rackWaitMillis;
+    }
+
     /**
      * Finds upstreams for a gang within one rack, or returns empty if no rack can hold the gang.
      * Prefers the rack whose worst chosen upstream is preferred most, and among equal racks the one
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/VictimSearch.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/VictimSearch.java
@@ -2,11 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
-import java.util.Map;
-import org.fescueloom.work.Resources;
+import java.util.Set;
 
 /**
  * Finds the victims for a waiting unit: running units that are stopped so that the waiting unit can
@@ -14,43 +15,61 @@
  */
 final class VictimSearch {
     private final UnitPlacer placer;
-    private final CapacityLedger ledger;
+
+    private final Collection<RunningUnit> running;
+
+    /**
+     * The running units that are not chosen yet, in the order in which they are chosen; null before
+     * the first search.
+     */
+    private List<RunningUnit> stoppable;
 
     /**
      * Creates a search.
      *
      * @param placer finds upstreams for the waiting unit, not null
-     * @param ledger the remaining capacity, not null
+     * @param running the units that may be stopped, not null
      */
-    VictimSearch(UnitPlacer placer, CapacityLedger ledger) {
+    VictimSearch(UnitPlacer placer, Collection<RunningUnit> running) {
         this.placer = placer;
-        this.ledger = ledger;
+        this.running = running;
     }
 
     /**
-     * Finds units to stop.
+     * Chooses units to stop, which are not chosen again.
      *
      * @param unit the unit that waits for capacity, not null
-     * @param running the units that may be stopped, not null
      * @return the units to stop; empty if no set of units releases enough, or the loss is not
      *     acceptable
      */
-    List<RunningUnit> search(WaitingUnit unit, Collection<RunningUnit> running) {
-        List<RunningUnit> candidates = new ArrayList<>(running);
-        candidates.removeIf(r -> !mayStop(unit, r));
-        candidates.sort(
-                Comparator.comparingInt(RunningUnit::priority)
-                        .reversed()
-                        .thenComparingDouble(RunningUnit::lostCoreSeconds)
-                        .thenComparing(RunningUnit::id));
-        Map<String, Resources> releasedByAgent = new HashMap<>();
+    List<RunningUnit> choose(WaitingUnit unit) {
+        if (stoppable == null) {
+            stoppable = new ArrayList<>(running);
+            stoppable.sort(
+                    Comparator.comparingInt(RunningUnit::priority)
+                            .reversed()
+                            .thenComparingDouble(RunningUnit::lostCoreSeconds)
+                            .thenComparing(RunningUnit::id));
+        }
+        List<RunningUnit> victims = search(unit);
+        // Identifiers are unique within a round, and cheaper to compare than resources.
+        Set<String> chosen = new HashSet<>();
+        victims.forEach(victim -> chosen.add(victim.id()));
+        stoppable.removeIf(candidate -> chosen.contains(candidate.id()));
+        return victims;
+    }
+
+    private List<RunningUnit> search(WaitingUnit unit) {
+        FitCounter counter = placer.promisedFits(unit);
         List<RunningUnit> victims = new ArrayList<>();
-        for (RunningUnit victim : candidates) {
-            addResources(releasedByAgent, victim);
-            victims.add(victim);
-            if (fits(unit, releasedByAgent)) {
-                List<RunningUnit> needed = removeUnneeded(unit, victims);
-                return isLossAcceptable(unit, needed) ? needed : List.of();
+        for (RunningUnit candidate : stoppable) {
+            if (mayStop(unit, candidate)) {
+                counter.add(candidate.resources());
+                victims.add(candidate);
+                if (placer.allFit(counter)) {
+                    List<RunningUnit> needed = removeUnneeded(counter, victims);
+                    return isLossAcceptable(unit, needed) ? needed : List.of();
+                }
             }
         }
         return List.of();
@@ -80,38 +99,17 @@
      * Removes each victim without which the waiting unit fits too. Victims with the greatest loss
      * are tested first.
      */
-    private List<RunningUnit> removeUnneeded(WaitingUnit unit, List<RunningUnit> victims) {
-        List<RunningUnit> needed = new ArrayList<>(victims);
+    private List<RunningUnit> removeUnneeded(FitCounter counter, List<RunningUnit> victims) {
+        Set<RunningUnit> needed = Collections.newSetFromMap(new IdentityHashMap<>());
         List<RunningUnit> byLoss = new ArrayList<>(victims);
         byLoss.sort(Comparator.comparingDouble(RunningUnit::lostCoreSeconds).reversed());
         for (RunningUnit victim : byLoss) {
-            needed.remove(victim);
-            Map<String, Resources> releasedByAgent = new HashMap<>();
-            needed.forEach(r -> addResources(releasedByAgent, r));
-            if (!fits(unit, releasedByAgent)) {
+            counter.subtract(victim.resources());
+            if (!placer.allFit(counter)) {
+                counter.add(victim.resources());
                 needed.add(victim);
             }
         }
-        return needed;
-    }
-
-    /**
-     * Tells whether a unit fits into the promised capacity plus the resources that victims release.
-     */
-    private boolean fits(WaitingUnit unit, Map<String, Resources> releasedByAgent) {
-        Map<Integer, String> agentByTaskIndex =
-                placer.findUpstreams(
-                        unit,
-                        agent ->
-                                ledger.capacity(agent, CapacityLedger.CapacityKind.PROMISED)
-                                        .plus(releasedByAgent.getOrDefault(agent, Resources.NONE)));
-        return agentByTaskIndex.size() == unit.taskIndexes().size();
-    }
-
-    private static void addResources(Map<String, Resources> releasedByAgent, RunningUnit victim) {
-        victim.resources()
-                .forEach(
-                        (agent, resources) ->
-                                releasedByAgent.merge(agent, resources, Resources::plus));
+        return victims.stream().filter(needed::contains).toList();
     }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/work/Resources.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/work/Resources.java
@@ -64,6 +64,29 @@
                 && accelerators <= capacity.accelerators;
     }
 
+    /**
+     * Tells how many times other resources fit into these.
+     *
+     * @param need the other resources, not null
+     * @return the number, 0 or more; {@code Long.MAX_VALUE} if nothing is needed
+     */
+    public long quotient(Resources need) {
+        return Math.max(
+                0,
+                Math.min(
+                        quotient(cpuMillis, need.cpuMillis),
+                        Math.min(
+                                quotient(memoryMegabytes, need.memoryMegabytes),
+                                quotient(accelerators, need.accelerators))));
+    }
+
+    private static long quotient(long available, long need) {
+        if (need > 0) {
+            return available < 0 ? 0 : available / need;
+        }
+        return need <= available ? Long.MAX_VALUE : 0;
+    }
+
     /**
      * Returns these resources as a number of cores.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -64,6 +64,7 @@
     private final StuckRunStopper stuckRunStopper;
     private final WaitTimes waitTimes = new WaitTimes();
     private final ScheduledExecutorService loop;
+    private boolean roundRequested;
     private boolean closed;
 
     /**
@@ -120,7 +121,7 @@
                         log,
                         initialState.intakeRecords(),
                         loop,
-                        this::scheduleTasks);
+                        this::requestScheduling);
         stuckRunStopper = new StuckRunStopper(state);
         state.restoreRuns();
         state.removeOldSpeeds();
@@ -188,13 +189,42 @@
         boolean runsEnded = runTracker.applyReport(agent, report, now);
         state.writer().flush();
         if (runsEnded) {
-            scheduleTasks();
+            requestScheduling();
         }
         CompletableFuture<AgentOrders> reply = new CompletableFuture<>();
         orderIssuer.park(agent, reply);
         return reply;
     }
 
+    /**
+     * Schedules tasks once the events that already wait in the event loop have been handled. The
+     * members of a gang end together on many upstreams; one round serves all their reports.
+     */
+    private void requestScheduling() {
+        if (!roundRequested && !closed) {
+            roundRequested = true;
+            loop.execute(this::scheduleRequested);
+        }
+    }
+
+    private void scheduleRequested() {
+        roundRequested = false;
+        try {
+            scheduleTasks();
+        } catch (RuntimeException e) {
+            recordRoundFailure(e);
+        }
+    }
+
+    private static boolean isUrgent(WaitingUnit unit) {
+        return unit.priority() == TaskScheduler.PREEMPTING_PRIORITY;
+    }
+
+    private void recordRoundFailure(RuntimeException error) {
+        state.metrics().count("dispatcher.round-failures");
+        EventLog.event("internal-failure").field("in", "dispatcher").error(error).error();
+    }
+
     private void tick() {
         if (closed) {
             return;
@@ -204,8 +234,7 @@
         } catch (RuntimeException e) {
             // The rounds must go on: other entries do not replace a dispatcher that responds but
             // does nothing.
-            state.metrics().count("dispatcher.round-failures");
-            EventLog.event("internal-failure").field("in", "dispatcher").error(e).error();
+            recordRoundFailure(e);
         } finally {
             loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -287,9 +316,11 @@
         if (waiting.isEmpty()) {
             return;
         }
-        SchedulePlan plan =
-                TaskScheduler.plan(
-                        waiting, preemptibleUnits(input, now), input.availableUpstreams());
+        Collection<RunningUnit> preemptible =
+                waiting.stream().anyMatch(Dispatcher::isUrgent)
+                        ? preemptibleUnits(input, now)
+                        : List.of();
+        SchedulePlan plan = TaskScheduler.plan(waiting, preemptible, input.availableUpstreams());
         plan.starts().forEach(start -> assign(start, now));
         preempt(plan.stops());
         state.writer().flush();
