Let the most able entry dispatch, and bound the wait for a claim

Cause: entries claimed in the order of their addresses, 0.3 s apart. On the large site the first three have 0.27 of a core while two others have 0.9, and the last of 45 entries would wait 13 s if those before it were lost. Change: entries tell each other the processor time of their machines, in hello messages and in their registrations; ClaimOrder ranks by it. Entries that leave, do not run or are not served by the log service have no turn. The delay grows with the logarithm of the turn: 0.3 s for the second, 1.2 s for the 15th, 1.6 s for the 45th. Two claims at once are settled by the log service, as before. Messages and records of earlier versions lack the field and count as unknown.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Candidacy.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Candidacy.java
@@ -1,6 +1,5 @@
 package org.fescueloom.daemon.dispatch;
 
-import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -13,17 +12,16 @@
  * claim.
  *
  * <p>The entry reads the end offset of the job log, gives other entries time to respond that they
- * have heard from the dispatcher, and claims at that offset when its turn comes. The turns of the
- * entries follow the order of their addresses. No candidacy starts while the calls of this entry to
- * the log service fail: an outage for all entries is no reason to replace a live dispatcher, and a
- * dispatcher whose calls have failed gets time to notice the end of the outage. Confined to the
- * event loop of its owner.
+ * have heard from the dispatcher, and claims at that offset when its turn comes; {@link ClaimOrder}
+ * determines the turns. No candidacy starts while the calls of this entry to the log service fail:
+ * an outage for all entries is no reason to replace a live dispatcher, and a dispatcher whose calls
+ * have failed gets time to notice the end of the outage. Confined to the event loop of its owner.
  */
 final class Candidacy {
     /** The time in which other entries can respond that they have heard from the dispatcher. */
     private static final long RESPONSE_WAIT_MILLIS = 50;
 
-    /** The delay between the claims of two entries with consecutive turns. */
+    /** The delay between the claims of the first and the second entry. */
     private static final long TURN_MILLIS = 300;
 
     /** The pause after a failed call to the log service. */
@@ -47,7 +45,6 @@
     private final Consumer<ClaimAttempt.Result> onResult;
     private SuspicionReason reason;
     private long startedMillis = UNKNOWN;
-    private long claimNotBeforeMillis;
     private long startNotBeforeMillis;
     private long logEndOffset = UNKNOWN;
     private boolean claiming;
@@ -117,12 +114,10 @@
      *
      * @param suspicion the reason to replace the dispatcher
      * @param now the present time on the monotonic clock, in milliseconds
-     * @param turn the number of entries that claim before this one
      */
-    void start(SuspicionReason suspicion, long now, int turn) {
+    void start(SuspicionReason suspicion, long now) {
         reason = suspicion;
         startedMillis = now;
-        claimNotBeforeMillis = now + RESPONSE_WAIT_MILLIS + TURN_MILLIS * turn;
         logEndOffset = UNKNOWN;
         log.newest(JobStore.TOPIC, JobStore.AFTER_ALL_KEYS)
                 .whenCompleteAsync(
@@ -151,21 +146,28 @@
         startNotBeforeMillis = Math.max(startNotBeforeMillis, notBeforeMillis);
     }
 
-    /** Shortens the delay by one turn, because an entry with an earlier turn is not running. */
-    void skipTurn() {
-        if (started()) {
-            claimNotBeforeMillis =
-                    Math.max(
-                            startedMillis + RESPONSE_WAIT_MILLIS,
-                            claimNotBeforeMillis - TURN_MILLIS);
+    /**
+     * Claims if the turn of this entry has come.
+     *
+     * @param now the present time on the monotonic clock, in milliseconds
+     * @param turn the number of entries that claim before this one, as far as is known now
+     */
+    void claimIfDue(long now, int turn) {
+        if (started()
+                && logEndOffset != UNKNOWN
+                && now >= startedMillis + RESPONSE_WAIT_MILLIS + delayMillis(turn)
+                && !claiming) {
+            claim(logEndOffset);
         }
     }
 
-    /** Claims if the turn of this entry has come. */
-    void claimIfDue(long now) {
-        if (started() && logEndOffset != UNKNOWN && now >= claimNotBeforeMillis && !claiming) {
-            claim(logEndOffset);
-        }
+    /**
+     * Returns how long an entry waits for those that claim before it. Grows with the logarithm of
+     * the turn, so that many entries that do not respond delay the next claim by little. If two
+     * entries claim at once, the log service stores only one of the claims.
+     */
+    static long delayMillis(int turn) {
+        return Math.round(TURN_MILLIS * Math.log1p(turn) / Math.log(2));
     }
 
     private void claim(long endOffset) {
@@ -202,16 +204,4 @@
         EventLog.event("claim-failed").field("why", reason).error(Failures.causeOf(error)).warn();
         cancelAndPauseUntil(clocks.now().monotonicMillis() + RETRY_MILLIS);
     }
-
-    /**
-     * Returns the number of entries that claim before an entry: those that precede it in the order
-     * of addresses, not counting the dispatcher.
-     */
-    static int claimTurn(List<String> entries, String dispatcher, String address) {
-        long turn =
-                entries.stream()
-                        .filter(e -> !e.equals(dispatcher) && e.compareTo(address) < 0)
-                        .count();
-        return (int) turn;
-    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryDirectory.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryDirectory.java
@@ -1,19 +1,38 @@
 package org.fescueloom.daemon.dispatch;
 
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.json.Json;
 
-/**
- * Registers the address of this entry in a log, and reads the addresses of other entries from it.
- */
+/** Registers this entry in a log, and reads the registrations of other entries from it. */
 final class EntryDirectory {
-    /** The log in which entries register their addresses. */
+    /**
+     * Describes a registered entry.
+     *
+     * @param process the process ID of the entry; null if unknown
+     * @param cores the processor time of its machine, in cores; 0 if unknown, also if null, as in
+     *     records of earlier versions
+     */
+    record Registration(String process, Double cores) {
+        /** Replaces an unknown processor time. */
+        Registration {
+            cores = Objects.requireNonNullElse(cores, 0.0);
+        }
+    }
+
+    /** The registration of an entry whose record cannot be read. */
+    private static final Registration UNREADABLE = new Registration(null, 0.0);
+
+    /** The log in which entries register, each under its address. */
     static final String TOPIC = "keyed.entries";
 
     private static final Duration APPEND_TIMEOUT = Duration.ofMillis(800);
@@ -24,7 +43,7 @@
     private final KeyedLog log;
     private final KeyedRecord ownRecord;
     private final ScheduledExecutorService loop;
-    private final Consumer<List<String>> onAddresses;
+    private final Consumer<Map<String, Registration>> onRegistrations;
     private boolean registered;
 
     /**
@@ -32,20 +51,21 @@
      *
      * @param log the log service
      * @param address the address of this entry
-     * @param processId the process ID of this entry
+     * @param own describes this entry
      * @param loop the event loop of the owner
-     * @param onAddresses receives the addresses that were read, on the event loop of the owner
+     * @param onRegistrations receives the registrations that were read, by address, on the event
+     *     loop of the owner
      */
     EntryDirectory(
             KeyedLog log,
             String address,
-            String processId,
+            Registration own,
             ScheduledExecutorService loop,
-            Consumer<List<String>> onAddresses) {
+            Consumer<Map<String, Registration>> onRegistrations) {
         this.log = log;
-        this.ownRecord = new KeyedRecord(address, Json.write(Map.of("process", processId)));
+        this.ownRecord = new KeyedRecord(address, Json.write(own));
         this.loop = loop;
-        this.onAddresses = onAddresses;
+        this.onRegistrations = onRegistrations;
     }
 
     /**
@@ -56,9 +76,8 @@
         log.newest(TOPIC, "")
                 .thenCompose(
                         page -> {
-                            List<String> addresses =
-                                    page.records().stream().map(KeyedRecord::key).toList();
-                            loop.execute(() -> onAddresses.accept(addresses));
+                            Map<String, Registration> registrations = read(page.records());
+                            loop.execute(() -> onRegistrations.accept(registrations));
                             return registered
                                     ? CompletableFuture.completedFuture(null)
                                     : log.append(
@@ -77,4 +96,20 @@
                         },
                         loop);
     }
+
+    private static Map<String, Registration> read(List<KeyedRecord> records) {
+        Map<String, Registration> registrations = new LinkedHashMap<>();
+        for (KeyedRecord entry : records) {
+            try {
+                registrations.put(entry.key(), Json.read(entry.value(), Registration.class));
+            } catch (SchedulerException e) {
+                EventLog.event("registration-unreadable")
+                        .field("entry", entry.key())
+                        .error(e)
+                        .warn();
+                registrations.put(entry.key(), UNREADABLE);
+            }
+        }
+        return registrations;
+    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.UUID;
@@ -76,6 +77,11 @@
     private final LogServiceContact clocks = LogServiceContact.withSystemClocks();
 
     private final Candidacy candidacy;
+    private final ClaimOrder claimOrder = new ClaimOrder();
+
+    /** The processor time of the machine, in cores. */
+    private final double cores;
+
     private final Set<String> entryAddresses = new TreeSet<>();
     private volatile Dispatcher dispatcher;
     private volatile String dispatcherAddress = "";
@@ -101,6 +107,8 @@
      *
      * @param address the address of this entry for other processes of the system, as "host:port",
      *     not null
+     * @param cores the processor time of the machine, in cores; entries with more of it are
+     *     preferred as dispatcher
      * @param seeds the addresses of entries to try first, not null
      * @param log the log service, not null
      * @param timings the time limits of the dispatcher, not null
@@ -110,6 +118,7 @@
      */
     public EntryNode(
             String address,
+            double cores,
             List<String> seeds,
             KeyedLog log,
             DispatchTimings timings,
@@ -117,6 +126,7 @@
             FleetFollower follower,
             Metrics metrics) {
         this.address = address;
+        this.cores = cores;
         this.log = log;
         this.timings = timings;
         this.loop = loop;
@@ -145,6 +155,7 @@
                         this::onClaimResult);
         addEntryAddresses(seeds);
         entryAddresses.add(address);
+        claimOrder.recordCores(address, cores);
     }
 
     /**
@@ -164,7 +175,8 @@
     public void start() {
         // No dispatcher has been heard yet; this counts as a dispatcher silent for too long.
         dispatcherHeardMillis = now() - SUSPECT_AFTER_MILLIS;
-        new EntryDirectory(log, address, processId, loop, this::addEntryAddresses).start();
+        EntryDirectory.Registration own = new EntryDirectory.Registration(processId, cores);
+        new EntryDirectory(log, address, own, loop, this::onRegistrations).start();
         loop.schedule(this::tick, 0, TimeUnit.MILLISECONDS);
     }
 
@@ -264,6 +276,7 @@
                 follower.viewCurrent() ? follower.ageMillis() : PeerHello.UNKNOWN_AGE_MILLIS,
                 !follower.logFailing(),
                 shuttingDown,
+                cores,
                 List.copyOf(entryAddresses));
     }
 
@@ -275,6 +288,7 @@
         }
         fleetSync.onHello(hello);
         entryAddresses.add(hello.address());
+        claimOrder.recordCores(hello.address(), hello.cores());
         if (hello.epoch() > epoch) {
             followClaim(hello.dispatcher(), hello.epoch());
         } else if (hello.epoch() == epoch
@@ -335,6 +349,11 @@
         entryAddresses.addAll(PeerAddresses.filterValid(addresses, metrics));
     }
 
+    private void onRegistrations(Map<String, EntryDirectory.Registration> registrations) {
+        addEntryAddresses(List.copyOf(registrations.keySet()));
+        registrations.forEach((entry, own) -> claimOrder.recordCores(entry, own.cores()));
+    }
+
     private List<String> otherEntries() {
         List<String> others = new ArrayList<>(entryAddresses);
         others.remove(address);
@@ -399,7 +418,7 @@
                 startCandidacy(now);
             }
         } else {
-            candidacy.claimIfDue(now);
+            candidacy.claimIfDue(now, claimOrder.turn(entryAddresses, dispatcherAddress, address));
         }
     }
 
@@ -431,10 +450,8 @@
      * Starts a candidacy, and asks the other entries whether they have heard from the dispatcher.
      */
     private void startCandidacy(long now) {
-        candidacy.start(
-                suspicionReason(),
-                now,
-                Candidacy.claimTurn(List.copyOf(entryAddresses), dispatcherAddress, address));
+        claimOrder.clearUnavailable();
+        candidacy.start(suspicionReason(), now);
         EventLog.event("dispatcher-suspected")
                 .field("dispatcher", dispatcherAddress)
                 .field("epoch", epoch)
@@ -457,10 +474,10 @@
     private void onCandidacyResponse(String peer, PeerHello hello, Throwable error) {
         if (error == null && hearsDispatcher(hello)) {
             candidacy.cancelAndPauseUntil(now() + HEARD_BY_OTHERS_MILLIS);
-        } else if (error != null
-                && Failures.causeOf(error) instanceof ConnectException
-                && peer.compareTo(address) < 0) {
-            candidacy.skipTurn();
+        } else if (error == null
+                ? hello.leaving() || !hello.logServes()
+                : Failures.causeOf(error) instanceof ConnectException) {
+            claimOrder.markUnavailable(peer);
         }
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/PeerHello.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/PeerHello.java
@@ -19,6 +19,8 @@
  *     milliseconds; {@link #UNKNOWN_AGE_MILLIS} if unknown
  * @param logServes whether the sender can reach the log service
  * @param leaving whether the sender is shutting down
+ * @param cores the processor time of the sender's machine, in cores; 0 if unknown, also if null, as
+ *     in messages of earlier versions
  * @param entries the addresses of the entries that the sender knows, not null
  */
 public record PeerHello(
@@ -31,6 +33,7 @@
         long fleetAgeMillis,
         boolean logServes,
         boolean leaving,
+        Double cores,
         List<String> entries) {
     /** Stands for an unknown age; can be subtracted from any clock reading without overflow. */
     static final long UNKNOWN_AGE_MILLIS = Long.MAX_VALUE / 4;
@@ -41,6 +44,7 @@
         Objects.requireNonNull(dispatcher, "dispatcher");
         FleetSnapshot.requireOffset(epoch);
         FleetSnapshot.requireOffset(fleetOffset);
+        cores = Objects.requireNonNullElse(cores, 0.0);
         entries = List.copyOf(entries);
     }
 }
