Learn the speed of upstreams from the checkpoints of their runs

A speed was learned when a run ended, 8 to 17 s after its start, and mixed with the error of the estimate. Change: a run saves a checkpoint after each second of work. CheckpointPace measures the time between them, 2.5 s or more at once, and UpstreamHealth takes it as evidence: of a slow upstream, or of one that is not slow. Once the pace of a run is known, its run time is no evidence any more. The interval comes from the settings. Each measurement is logged.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/LogNormalEstimate.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/LogNormalEstimate.java
@@ -55,6 +55,16 @@
         second.correct(difference, totalVariance);
     }
 
+    /**
+     * Corrects this estimate by an observation of its factor.
+     *
+     * @param observed the observed factor, positive
+     * @param noise the variance of the logarithm of the observation, positive
+     */
+    void observe(double observed, double noise) {
+        correct(Math.log(observed) - mean, variance + noise);
+    }
+
     /**
      * Moves the mean by the part of the difference that corresponds to the share of this estimate
      * in the total variance, and reduces the variance by the same share.
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UpstreamHealth.java
@@ -27,6 +27,18 @@
      */
     private static final double GANG_VARIANCE = 0.6;
 
+    /**
+     * The variance of the logarithm of a pace of checkpoints: the error of a {@link CheckpointPace}
+     * is a sixth.
+     */
+    private static final double PACE_VARIANCE = 0.03;
+
+    /**
+     * A pace of checkpoints up to this one may be that of an average upstream or of a faster one,
+     * because agents observe their upstream once a second.
+     */
+    private static final double FULL_PACE = 1.2;
+
     /**
      * Limits the influence of one run: larger ratios of run time and estimate count as this one,
      * and smaller ratios as its inverse.
@@ -130,14 +142,33 @@
         consecutiveFailures = 0;
         speedKnown = true;
         runningSlowness = 0;
-        slowness.increaseVariance(Math.max(0, monotonicMillis - updatedMillis) * AGING_PER_MILLI);
-        updatedMillis = monotonicMillis;
+        increaseVarianceByAge(monotonicMillis);
         double bounded = Math.min(MAX_RATIO, Math.max(1 / MAX_RATIO, ratio));
         boolean slow = bounded > slowness.value() * estimateError.factor();
         double noise = shared && slow ? GANG_VARIANCE : RUN_VARIANCE;
         LogNormalEstimate.observeProduct(slowness, estimateError.error(), bounded, noise);
     }
 
+    /**
+     * Records the pace at which a run in progress saves checkpoints.
+     *
+     * @param pace the time between two checkpoints divided by the work between them, positive; see
+     *     {@link CheckpointPace}
+     * @param shared whether other upstreams may have determined the pace
+     * @param monotonicMillis the current time
+     */
+    public void recordPace(double pace, boolean shared, long monotonicMillis) {
+        speedKnown = true;
+        increaseVarianceByAge(monotonicMillis);
+        if (pace > FULL_PACE) {
+            slowness.observe(Math.min(MAX_RATIO, pace), shared ? GANG_VARIANCE : PACE_VARIANCE);
+        } else {
+            slowness.observe(Math.min(1.0, slowness.value()), PACE_VARIANCE);
+            // Runs took long because of their estimates, not because of the upstream.
+            runningSlowness = 0;
+        }
+    }
+
     /**
      * Records that a run is still in progress. The upstream counts as slow once the run takes
      * longer than the step can need at average speed, until a run ends on the upstream with
@@ -151,6 +182,11 @@
         runningSlowness = Math.max(runningSlowness, Math.min(MAX_RUNNING_SLOWNESS, lowerBound));
     }
 
+    private void increaseVarianceByAge(long monotonicMillis) {
+        slowness.increaseVariance(Math.max(0, monotonicMillis - updatedMillis) * AGING_PER_MILLI);
+        updatedMillis = monotonicMillis;
+    }
+
     /**
      * Records a run that failed. The upstream becomes suspect after two consecutive failures.
      *
@@ -222,7 +258,8 @@
     /**
      * Tells whether the speed of the upstream is known.
      *
-     * @return false until a run has ended with success or a stored speed was restored
+     * @return false until a run has ended with success or shown its pace, or a stored speed was
+     *     restored
      */
     public boolean speedKnown() {
         return speedKnown;
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/UpstreamHealthTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/UpstreamHealthTest.java
@@ -130,4 +130,53 @@
             assertThat(health.suspect(11)).isFalse();
         }
     }
+
+    @Nested
+    class Pace {
+        @Test
+        void showsASlowUpstreamWithinTwoMeasurements() {
+            health.recordPace(1.67, false, 0);
+            health.recordPace(1.67, false, 0);
+
+            assertThat(health.speedKnown()).isTrue();
+            assertThat(health.slowness()).isCloseTo(1.67, within(0.1));
+        }
+
+        @Test
+        void showsThatAnUpstreamIsNotSlow() {
+            double boundBefore = health.slownessUpperBound();
+            health.recordPace(1.02, false, 0);
+
+            assertThat(health.slowness()).isEqualTo(1.0);
+            assertThat(health.slownessUpperBound()).isLessThan(1.2).isLessThan(boundBefore);
+        }
+
+        @Test
+        void doesNotSlowDownAFastUpstream() {
+            StepEstimateError estimateError = exactEstimate();
+            for (int i = 0; i < 10; i++) {
+                health.recordSuccess(0.6, estimateError, false, 0);
+            }
+            double slowness = health.slowness();
+            health.recordPace(1.02, false, 0);
+
+            assertThat(health.slowness()).isEqualTo(slowness);
+        }
+
+        @Test
+        void clearsWhatALowEstimateHasSuggested() {
+            health.recordRunning(2.5, exactEstimate());
+            assertThat(health.slowness()).isGreaterThan(1.5);
+
+            health.recordPace(1.02, false, 0);
+            assertThat(health.slowness()).isEqualTo(1.0);
+        }
+
+        @Test
+        void ofAGangIsWeakEvidenceOfASlowUpstream() {
+            health.recordPace(1.67, true, 0);
+
+            assertThat(health.slowness()).isLessThan(1.2);
+        }
+    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
@@ -1,5 +1,6 @@
 package org.fescueloom.daemon.dispatch;
 
+import org.fescueloom.schedule.CheckpointPace;
 import org.fescueloom.work.Resources;
 import org.fescueloom.work.TaskKey;
 
@@ -20,6 +21,7 @@
     private long firstListedMillis;
     private String checkpoint = "";
     private long lastProgressMillis;
+    private final CheckpointPace pace = new CheckpointPace();
 
     AssignedRun(
             TaskKey task,
@@ -87,6 +89,11 @@
         }
     }
 
+    /** Returns the measurement of the pace at which the run saves checkpoints. */
+    CheckpointPace pace() {
+        return pace;
+    }
+
     /**
      * Returns when the checkpoint of the run last changed, or when the upstream first listed the
      * run if that is later.
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchTimings.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchTimings.java
@@ -7,12 +7,15 @@
  * @param maxProofAgeMillis the maximum age of the confirmation of the claim when a lease is granted
  * @param maxReportAgeMillis the maximum age of the last report of an upstream that is given tasks
  * @param endedJobRetentionMillis how long an ended job is retained
+ * @param checkpointIntervalMillis the work between two checkpoints of a run, as run time on an
+ *     average upstream
  */
 public record DispatchTimings(
         long leaseMillis,
         long maxProofAgeMillis,
         long maxReportAgeMillis,
-        long endedJobRetentionMillis) {
+        long endedJobRetentionMillis,
+        long checkpointIntervalMillis) {
     /**
      * How many times longer than {@code leaseMillis} a lease may last if it is measured on the
      * slowest clock of an upstream, with a margin.
@@ -24,6 +27,11 @@
 
     /** Checks the values. */
     public DispatchTimings {
+        if (checkpointIntervalMillis <= 0) {
+            throw new IllegalArgumentException(
+                    "checkpointIntervalMillis must be positive, but is "
+                            + checkpointIntervalMillis);
+        }
         if (leaseMillis <= 0 || maxProofAgeMillis <= 0 || maxReportAgeMillis <= 0) {
             throw new IllegalArgumentException(
                     "lease, proof age and report age must be positive: "
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryDirectory.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryDirectory.java
@@ -15,26 +15,12 @@
 
 /** Registers this entry in a log, and reads the registrations of other entries from it. */
 final class EntryDirectory {
-    /**
-     * Describes a registered entry.
-     *
-     * @param process the process ID of the entry; null if unknown
-     * @param cores the processor time of its machine, in cores; 0 if unknown, also if null, as in
-     *     records of earlier versions
-     */
-    record Registration(String process, Double cores) {
-        /** Replaces an unknown processor time. */
-        Registration {
-            cores = Objects.requireNonNullElse(cores, 0.0);
-        }
-    }
+    /** The log in which entries register, each under its address. */
+    static final String TOPIC = "keyed.entries";
 
     /** The registration of an entry whose record cannot be read. */
     private static final Registration UNREADABLE = new Registration(null, 0.0);
 
-    /** The log in which entries register, each under its address. */
-    static final String TOPIC = "keyed.entries";
-
     private static final Duration APPEND_TIMEOUT = Duration.ofMillis(800);
 
     /** The pause after a failed call to the log service. */
@@ -46,6 +32,20 @@
     private final Consumer<Map<String, Registration>> onRegistrations;
     private boolean registered;
 
+    /**
+     * Describes a registered entry.
+     *
+     * @param process the process ID of the entry; null if unknown
+     * @param cores the processor time of its machine, in cores; 0 if unknown, also if null, as in
+     *     records of earlier versions
+     */
+    record Registration(String process, Double cores) {
+        /** Replaces an unknown processor time. */
+        Registration {
+            cores = Objects.requireNonNullElse(cores, 0.0);
+        }
+    }
+
     /**
      * Creates a directory that is not started.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.fleet.QueuePolicy;
@@ -62,7 +63,8 @@
         if (hasNewEnds) {
             acknowledgeOnceStored(agent);
         }
-        report.running().forEach(status -> applyRunStatus(agent, status, now));
+        long polledMillis = now - report.lookAgeMillis();
+        report.running().forEach(status -> applyRunStatus(agent, status, polledMillis, now));
         for (StopOrder barred : report.barred()) {
             AssignedRun run = agent.runs().get(barred.task());
             if (run != null && run.number() == barred.run() && run.boot().equals(barred.boot())) {
@@ -96,7 +98,7 @@
         }
     }
 
-    private void applyRunStatus(AgentView agent, RunStatus status, long now) {
+    private void applyRunStatus(AgentView agent, RunStatus status, long polledMillis, long now) {
         AssignedRun run = agent.runs().get(status.task());
         if (run == null || run.number() != status.run()) {
             return;
@@ -110,7 +112,11 @@
         if (!status.checkpoint().isEmpty()) {
             saveCheckpoint(job, run, status.checkpoint());
         }
-        updateHealthFromRunningRun(agent, run, job, now);
+        updateHealthFromPace(agent, run, status, job, polledMillis, now);
+        // Once its pace is known, a long run time shows a wrong estimate.
+        if (!run.pace().measured()) {
+            updateHealthFromRunningRun(agent, run, job, now);
+        }
     }
 
     private static void saveCheckpoint(WorkJob job, AssignedRun run, String checkpoint) {
@@ -208,6 +214,38 @@
         }
     }
 
+    /**
+     * Updates the health of an upstream from the pace at which a run saves checkpoints. Skips runs
+     * away from their data, which are slow on any upstream.
+     */
+    private void updateHealthFromPace(
+            AgentView agent,
+            AssignedRun run,
+            RunStatus status,
+            WorkJob job,
+            long polledMillis,
+            long now) {
+        StepSpec spec = DispatchState.stepOf(job, run.task());
+        OptionalDouble pace =
+                run.pace()
+                        .observe(
+                                status.checkpoint(),
+                                polledMillis,
+                                state.timings().checkpointIntervalMillis());
+        if (pace.isPresent() && spec.checkpoints() && isDurationComparable(agent, spec)) {
+            agent.health().recordPace(pace.getAsDouble(), spec.gang() && spec.count() > 1, now);
+            state.saveSpeed(agent);
+            EventLog.event("pace-measured")
+                    .field("task", run.task())
+                    .field("run", run.number())
+                    .field("agent", agent.name())
+                    .field("pace", Math.round(100 * pace.getAsDouble()) / 100.0)
+                    .field("slowness", Math.round(100 * agent.health().slowness()) / 100.0)
+                    .field("epoch", state.epoch())
+                    .info();
+        }
+    }
+
     /**
      * Updates the health of an upstream from a run that has not ended, even if the run started from
      * a checkpoint or under another dispatcher. Skips gangs, because a member may be waiting for
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -18,7 +18,8 @@
 import org.junit.jupiter.api.Test;
 
 class DispatcherTest {
-    private static final DispatchTimings TIMINGS = new DispatchTimings(7_000, 6_000, 1_800, 60_000);
+    private static final DispatchTimings TIMINGS =
+            new DispatchTimings(7_000, 6_000, 1_800, 60_000, 1_000);
     private static final QueuePolicy QUEUE =
             new QueuePolicy("queue", "host", "/q/", "service", 1, 2, 3.0, 1_000, false, false);
     private static final FleetConfiguration CONFIGURATION =
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryAddressValidationTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryAddressValidationTest.java
@@ -20,7 +20,8 @@
     private static final long WAIT_SECONDS = 20;
     private static final List<String> INVALID =
             List.of("", "no address", "10.0.0.1:99999", "a:1/b");
-    private static final DispatchTimings TIMINGS = new DispatchTimings(7_000, 6_000, 1_800, 60_000);
+    private static final DispatchTimings TIMINGS =
+            new DispatchTimings(7_000, 6_000, 1_800, 60_000, 1_000);
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
     private final HttpServer server = new HttpServer("127.0.0.1", 0, 1 << 20);
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -23,7 +23,8 @@
 
 class EntryNodeTest {
     private static final long WAIT_SECONDS = 30;
-    private static final DispatchTimings TIMINGS = new DispatchTimings(7_000, 6_000, 1_800, 60_000);
+    private static final DispatchTimings TIMINGS =
+            new DispatchTimings(7_000, 6_000, 1_800, 60_000, 1_000);
     private static final String OPERATOR_LOG = "keyed.op";
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeRandomHistoriesTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeRandomHistoriesTest.java
@@ -35,7 +35,7 @@
     private static final long FIRST_SEED = Long.getLong("histories.seed", 0);
     private static final int STEPS = 80;
     private static final DispatchTimings TIMINGS =
-            new DispatchTimings(7_000, 6_000, 1_800, 900_000);
+            new DispatchTimings(7_000, 6_000, 1_800, 900_000, 1_000);
     private static final QueuePolicy QUEUE =
             new QueuePolicy("queue", "host", "/q/", "service", 1, 2, 3.0, 1_000, false, false);
     private static final FleetView FLEET =
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
@@ -23,7 +23,7 @@
 class JobIntakeTest {
     private static final long ENDED_JOB_RETENTION_MILLIS = 60_000;
     private static final DispatchTimings TIMINGS =
-            new DispatchTimings(7_000, 6_000, 1_800, ENDED_JOB_RETENTION_MILLIS);
+            new DispatchTimings(7_000, 6_000, 1_800, ENDED_JOB_RETENTION_MILLIS, 1_000);
 
     /** Longer than the minimum time between two removals, which is 5 s. */
     private static final long REMOVAL_WAIT_MILLIS = 6_000;
