Hand the dispatcher over also while the log service is slow; hear of late claims

Change 1: a dispatcher that shuts down pauses after each append for twice the time that it took. Change 2: an entry that waits for its turn asks three others again each 0.3 s. Change 3: EntryRoster holds what EntryNode knows of the entries; ClaimOrder is part of it.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Candidacy.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Candidacy.java
@@ -12,10 +12,11 @@
  * claim.
  *
  * <p>The entry reads the end offset of the job log, gives other entries time to respond that they
- * have heard from the dispatcher, and claims at that offset when its turn comes; {@link ClaimOrder}
- * determines the turns. No candidacy starts while the calls of this entry to the log service fail:
- * an outage for all entries is no reason to replace a live dispatcher, and a dispatcher whose calls
- * have failed gets time to notice the end of the outage. Confined to the event loop of its owner.
+ * have heard from the dispatcher, and claims at that offset when its turn comes; {@link
+ * EntryRoster} determines the turns. No candidacy starts while the calls of this entry to the log
+ * service fail: an outage for all entries is no reason to replace a live dispatcher, and a
+ * dispatcher whose calls have failed gets time to notice the end of the outage. Confined to the
+ * event loop of its owner.
  */
 final class Candidacy {
     /** The time in which other entries can respond that they have heard from the dispatcher. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -151,6 +151,11 @@
         }
     }
 
+    /** Leaves time between the appends of this dispatcher, in which another entry can claim. */
+    void yieldToClaims() {
+        state.writer().yieldToClaims();
+    }
+
     /** Tests whether a job is known to be stored in the job log. */
     boolean hasStoredJob(String id) {
         return state.storedStatuses().containsKey(id);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
@@ -41,6 +41,9 @@
     /** Maximum pause after a failed call. */
     private static final long MAX_RETRY_MILLIS = 400;
 
+    /** The pause after an append of a writer that yields to claims, in durations of the append. */
+    private static final int YIELD_FACTOR = 2;
+
     private final KeyedLog log;
     private final String topic;
     private final ScheduledExecutorService loop;
@@ -70,8 +73,13 @@
     /** Whether an append of the current batch may have been or may still be executed. */
     private boolean outcomeUnknown;
 
-    /** Whether a failed batch whose records are pending again waits for its retry. */
-    private boolean retryPaused;
+    /**
+     * Whether the next append waits: for the retry of a failed batch whose records are pending
+     * again, or for the claim of another entry.
+     */
+    private boolean paused;
+
+    private boolean yieldsToClaims;
 
     private boolean closed;
 
@@ -146,7 +154,7 @@
      */
     void flush() {
         boolean nothingPending = pendingValues.isEmpty() && pendingActions.isEmpty();
-        if (closed || batch != null || nothingPending || retryPaused) {
+        if (closed || batch != null || nothingPending || paused) {
             return;
         }
         outcomeUnknown = false;
@@ -158,6 +166,15 @@
         }
     }
 
+    /**
+     * Pauses after each append from now on, for longer than another entry needs to learn where the
+     * log ends and to claim there. Without pauses, appends that follow each other without a gap
+     * make all claims fail if calls take long.
+     */
+    void yieldToClaims() {
+        yieldsToClaims = true;
+    }
+
     /**
      * Reads the log from the expected end, to detect records of other processes. Does nothing while
      * an append or another check is in progress.
@@ -333,12 +350,12 @@
         actions.addAll(pendingActions);
         pendingActions = actions;
         batch = null;
-        retryPaused = true;
+        paused = true;
         loop.schedule(this::resume, backoff.nextMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void resume() {
-        retryPaused = false;
+        paused = false;
         flush();
     }
 
@@ -386,10 +403,12 @@
 
     private void onStored(long newEnd, LogServiceContact.ClockReading sent) {
         contact.confirm(sent);
-        metrics.timer("store.append")
-                .update(
-                        contact.now().monotonicMillis() - sent.monotonicMillis(),
-                        TimeUnit.MILLISECONDS);
+        long tookMillis = contact.now().monotonicMillis() - sent.monotonicMillis();
+        metrics.timer("store.append").update(tookMillis, TimeUnit.MILLISECONDS);
+        if (yieldsToClaims) {
+            paused = true;
+            loop.schedule(this::resume, YIELD_FACTOR * tookMillis, TimeUnit.MILLISECONDS);
+        }
         markLogRecovered();
         backoff.reset();
         expectedEnd = newEnd;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -2,11 +2,9 @@
 
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -56,6 +54,15 @@
      */
     private static final long MAX_LOG_FAILING_MILLIS = 900;
 
+    /**
+     * While an entry waits for its turn to claim, it asks some other entries again after this time:
+     * one of them may have heard of a claim that was made before this entry was known.
+     */
+    private static final long ASK_AGAIN_MILLIS = 300;
+
+    /** How many other entries are asked again. */
+    private static final int MAX_ASKED_AGAIN = 3;
+
     /** The maximum number of concurrent calls to other entries. */
     private static final int MAX_CALLS = 64;
 
@@ -77,12 +84,11 @@
     private final LogServiceContact clocks = LogServiceContact.withSystemClocks();
 
     private final Candidacy candidacy;
-    private final ClaimOrder claimOrder = new ClaimOrder();
+    private final EntryRoster roster;
 
     /** The processor time of the machine, in cores. */
     private final double cores;
 
-    private final Set<String> entryAddresses = new TreeSet<>();
     private volatile Dispatcher dispatcher;
     private volatile String dispatcherAddress = "";
 
@@ -96,6 +102,9 @@
 
     private boolean helloPending;
 
+    /** When other entries were last asked during the present candidacy. */
+    private long askedOthersMillis;
+
     /** The address of the dispatcher that this entry replaced; empty if none. */
     private String replacedAddress = "";
 
@@ -153,9 +162,8 @@
                         loop,
                         this::onClaimStored,
                         this::onClaimResult);
-        addEntryAddresses(seeds);
-        entryAddresses.add(address);
-        claimOrder.recordCores(address, cores);
+        roster = new EntryRoster(address, cores, metrics);
+        roster.add(seeds);
     }
 
     /**
@@ -187,7 +195,13 @@
      */
     public void announceShutdown() {
         shuttingDown = true;
-        loop.execute(() -> otherEntries().forEach(this::sendHello));
+        loop.execute(
+                () -> {
+                    if (dispatcher != null) {
+                        dispatcher.yieldToClaims();
+                    }
+                    roster.others().forEach(this::sendHello);
+                });
     }
 
     /**
@@ -196,7 +210,7 @@
      * @param seeds the addresses, not null
      */
     public void addSeedAddresses(List<String> seeds) {
-        loop.execute(() -> addEntryAddresses(seeds));
+        loop.execute(() -> roster.add(seeds));
     }
 
     /** Closes the entry and its connections. If this entry is the dispatcher, it steps down. */
@@ -277,18 +291,17 @@
                 !follower.logFailing(),
                 shuttingDown,
                 cores,
-                List.copyOf(entryAddresses));
+                roster.all());
     }
 
     /** Learns entries and the dispatcher from a hello message of another entry. */
     private void applyHello(PeerHello hello) {
-        addEntryAddresses(hello.entries());
+        roster.add(hello.entries());
         if (!HttpClient.isAddress(hello.address())) {
             return;
         }
         fleetSync.onHello(hello);
-        entryAddresses.add(hello.address());
-        claimOrder.recordCores(hello.address(), hello.cores());
+        roster.add(hello.address(), hello.cores());
         if (hello.epoch() > epoch) {
             followClaim(hello.dispatcher(), hello.epoch());
         } else if (hello.epoch() == epoch
@@ -345,19 +358,8 @@
         lastSuspicion = reason;
     }
 
-    private void addEntryAddresses(List<String> addresses) {
-        entryAddresses.addAll(PeerAddresses.filterValid(addresses, metrics));
-    }
-
     private void onRegistrations(Map<String, EntryDirectory.Registration> registrations) {
-        addEntryAddresses(List.copyOf(registrations.keySet()));
-        registrations.forEach((entry, own) -> claimOrder.recordCores(entry, own.cores()));
-    }
-
-    private List<String> otherEntries() {
-        List<String> others = new ArrayList<>(entryAddresses);
-        others.remove(address);
-        return others;
+        registrations.forEach((entry, described) -> roster.add(entry, described.cores()));
     }
 
     private CompletableFuture<PeerHello> sendHello(String peer) {
@@ -378,7 +380,7 @@
 
     private void tick() {
         try {
-            fleetSync.askPeersIfStale(dispatcherAddress, otherEntries());
+            fleetSync.askPeersIfStale(dispatcherAddress, roster.others());
             if (dispatcher == null && !shuttingDown) {
                 watchDispatcher();
             }
@@ -418,7 +420,12 @@
                 startCandidacy(now);
             }
         } else {
-            candidacy.claimIfDue(now, claimOrder.turn(entryAddresses, dispatcherAddress, address));
+            if (now - askedOthersMillis >= ASK_AGAIN_MILLIS) {
+                List<String> others = roster.others();
+                Collections.shuffle(others);
+                askOthers(others.subList(0, Math.min(MAX_ASKED_AGAIN, others.size())), now);
+            }
+            candidacy.claimIfDue(now, roster.claimTurn(dispatcherAddress));
         }
     }
 
@@ -450,7 +457,7 @@
      * Starts a candidacy, and asks the other entries whether they have heard from the dispatcher.
      */
     private void startCandidacy(long now) {
-        claimOrder.clearUnavailable();
+        roster.clearUnavailable();
         candidacy.start(suspicionReason(), now);
         EventLog.event("dispatcher-suspected")
                 .field("dispatcher", dispatcherAddress)
@@ -459,7 +466,12 @@
                 .field("why", suspicionReason())
                 .field("log-failing", follower.logFailing())
                 .info();
-        for (String peer : otherEntries()) {
+        askOthers(roster.others(), now);
+    }
+
+    private void askOthers(List<String> others, long now) {
+        askedOthersMillis = now;
+        for (String peer : others) {
             if (!peer.equals(dispatcherAddress)) {
                 sendHello(peer)
                         .whenCompleteAsync((hello, e) -> onCandidacyResponse(peer, hello, e), loop);
@@ -477,7 +489,7 @@
         } else if (error == null
                 ? hello.leaving() || !hello.logServes()
                 : Failures.causeOf(error) instanceof ConnectException) {
-            claimOrder.markUnavailable(peer);
+            roster.markUnavailable(peer);
         }
     }
 
@@ -506,7 +518,7 @@
             replacedAddress = dispatcherAddress;
             dispatcherAddress = address;
             dispatcherHeardMillis = now();
-            otherEntries().forEach(this::sendHello);
+            roster.others().forEach(this::sendHello);
         }
     }
 
@@ -536,7 +548,7 @@
                         loop,
                         LogServiceContact.withSystemClocks(),
                         follower::view,
-                        () -> List.copyOf(entryAddresses),
+                        () -> roster.all(),
                         metrics,
                         () -> stepDown("replaced"));
         dispatcherAddress = address;
@@ -551,7 +563,7 @@
                 .field("config", follower.view().version())
                 .info();
         dispatcher.start();
-        otherEntries().forEach(this::sendHello);
+        roster.others().forEach(this::sendHello);
     }
 
     private void stepDown(String reason) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/CandidacyTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/CandidacyTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.fescueloom.daemon.metrics.Metrics;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -209,4 +210,54 @@
             assertThat(candidacy.mayStart(SuspicionReason.SILENT, loop.nowMillis())).isTrue();
         }
     }
+
+    /** A dispatcher that shuts down works on, and its calls to the log service take long. */
+    @Nested
+    class LeavingDispatcherOnASlowLog {
+        private static final long CALL_MILLIS = 300;
+
+        private final SlowKeyedLog slowLog = new SlowKeyedLog(log, loop, CALL_MILLIS);
+        private final DurableWriter writer =
+                new DurableWriter(
+                        slowLog,
+                        JobStore.TOPIC,
+                        0,
+                        loop,
+                        loop.logServiceContact(),
+                        new Metrics(),
+                        () -> replaced = true);
+        private final Candidacy slowCandidacy =
+                new Candidacy(
+                        slowLog,
+                        new ClaimAttempt(slowLog, OWN_CLAIM, loop.logServiceContact()),
+                        () -> logHealthyForMillis,
+                        loop.logServiceContact(),
+                        loop,
+                        epochs::add,
+                        results::add);
+        private boolean replaced;
+
+        /** Stores the progress of a job, and again once it is stored. */
+        private void writeForever() {
+            writer.put(JobStore.progressKey("job"), () -> new byte[] {1});
+            writer.whenStored(this::writeForever);
+            writer.flush();
+        }
+
+        @Test
+        void isReplacedWithinThreeSeconds() {
+            writeForever();
+            loop.advance(1_000);
+            writer.yieldToClaims();
+            slowCandidacy.start(SuspicionReason.LEAVING, loop.nowMillis());
+            for (int i = 0; i < 60; i++) {
+                loop.advance(50);
+                slowCandidacy.claimIfDue(loop.nowMillis(), 0);
+            }
+
+            assertThat(results).singleElement().isInstanceOf(ClaimAttempt.Result.Won.class);
+            assertThat(replaced).isTrue();
+            assertThat(claimCount()).isEqualTo(1);
+        }
+    }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FaultInjectingLog.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FaultInjectingLog.java
@@ -13,7 +13,7 @@
  * Gives one entry access to a log that several entries share. The access can be closed for this
  * entry alone, and reads wait for records as the log service does.
  */
-final class FaultInjectingLog implements KeyedLog {
+class FaultInjectingLog implements KeyedLog {
     /** The interval at which a waiting read looks for new records. */
     private static final long POLL_MILLIS = 20;
 
