Read on after a pipelined request whose body has not arrived whole

Cause: while a connection works on a request, it stops reading when the head of the next one comes. Once the first response was sent, it processed that head and resumed reading only if the request was complete, so the rest of its body was never read and the caller's connection was closed after 30 s. Change: it reads on once no message is left, also in the middle of a request. Test: followAPipelinedRequestWhoseBodyArrivesLater fails on the code before.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
@@ -357,7 +357,7 @@
 
     /**
      * Processes the pending messages up to the next request that has to wait for the current one.
-     * Resumes reading if no message is left and no request is partly received.
+     * Resumes reading if no message is left, also in the middle of a request.
      */
     private void processPending(ChannelHandlerContext context) throws Exception {
         while (!pendingMessages.isEmpty()) {
@@ -367,7 +367,7 @@
             }
             processFirstPending(context);
         }
-        if (requestComplete && !context.channel().config().isAutoRead()) {
+        if (!context.channel().config().isAutoRead()) {
             context.channel().config().setAutoRead(true);
         }
     }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/http/ConnectionGuardTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/http/ConnectionGuardTest.java
@@ -109,6 +109,18 @@
             }
         }
 
+        @Test
+        void followAPipelinedRequestWhoseBodyArrivesLater() throws IOException {
+            String second = post(0, "text/plain", "second");
+            int split = second.length() - 3;
+            try (Socket socket = connect()) {
+                send(socket, post(300, "text/plain", "first") + second.substring(0, split));
+                readUntil(socket, "first");
+                send(socket, second.substring(split));
+                assertThat(readUntil(socket, "second")).endsWith("second");
+            }
+        }
+
         @Test
         void carryFormBodiesUnchanged() throws IOException {
             String type = "application/x-www-form-urlencoded";
