--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobSamples.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobSamples.java
@@ -21,25 +21,30 @@
     /** Creates a job of one step. */
     static Submission job(
             String id, int tasks, long estimateMillis, boolean gang, boolean checkpoints) {
-        StepSpec step =
-                new StepSpec(
-                        tasks,
-                        ONE,
-                        estimateMillis,
-                        List.of(),
-                        gang,
-                        gang,
-                        "",
-                        "",
-                        0,
-                        checkpoints,
-                        false,
-                        false,
-                        "",
-                        0,
-                        false,
-                        0);
+        StepSpec step = step(tasks, ONE, estimateMillis, gang, checkpoints);
         WorkSpec work = new WorkSpec("payload", List.of(step), 0, 0, 1);
         return new Submission(id, "queue", "customer", "service", 0, work);
     }
+
+    /** Creates a step; the tasks of a gang prefer one rack. */
+    static StepSpec step(
+            int tasks, Resources need, long estimateMillis, boolean gang, boolean checkpoints) {
+        return new StepSpec(
+                tasks,
+                need,
+                estimateMillis,
+                List.of(),
+                gang,
+                gang,
+                "",
+                "",
+                0,
+                checkpoints,
+                false,
+                false,
+                "",
+                0,
+                false,
+                0);
+    }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeFleetTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeFleetTest.java
@@ -109,25 +109,8 @@
                 Duration.ofSeconds(1));
     }
 
-    private static StepSpec step(
-            int count, long accelerators, long estimateMillis, boolean gang, boolean checkpoints) {
-        return new StepSpec(
-                count,
-                new Resources(2_000, 100, accelerators),
-                estimateMillis,
-                List.of(),
-                gang,
-                gang,
-                "",
-                "",
-                0,
-                checkpoints,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0);
+    private static Resources accelerators(long count) {
+        return new Resources(2_000, 100, count);
     }
 
     private JobStatus status(String job) {
@@ -146,9 +129,17 @@
          */
         @Test
         void endInTimeAlthoughNoRunHasEndedYet() {
-            submit("long", "batch", step(AGENTS, 1, 20_000, false, true), 40_000);
+            submit(
+                    "long",
+                    "batch",
+                    JobSamples.step(AGENTS, accelerators(1), 20_000, false, true),
+                    40_000);
             loop.advance(8_000);
-            submit("gang", "urgent", step(3, 6, ESTIMATE_MILLIS, true, false), ESTIMATE_MILLIS);
+            submit(
+                    "gang",
+                    "urgent",
+                    JobSamples.step(3, accelerators(6), ESTIMATE_MILLIS, true, false),
+                    ESTIMATE_MILLIS);
             loop.advance((long) (URGENT_SLACK_FACTOR * ESTIMATE_MILLIS));
 
             assertThat(status("gang")).isEqualTo(JobStatus.SUCCEEDED);
