Keep a step away from upstreams on which it has failed, however long it waits

Change: upstreams on which a run of the step has failed are avoided without a limit of time, unless the step has failed on every upstream that has its label. Suspect upstreams are used as before. Test: TaskSchedulerTest$FailingUpstream fails without the change.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import org.fescueloom.work.Resources;
 import org.fescueloom.work.StepSpec;
@@ -275,11 +276,11 @@
         String label = unit.spec().requiredLabel();
         boolean acceptsAny =
                 unit.millisSinceDue() > SUSPECT_WAIT_FACTOR * unit.spec().estimateMillis();
+        Set<String> failed = avoidedAgents(unit);
         for (UpstreamCapacity upstream : ledger.upstreams(unit.service(), rack)) {
             boolean labelled = label.isEmpty() || upstream.labels().contains(label);
-            boolean usable =
-                    acceptsAny || isTrusted(unit, upstream) && isFastEnough(unit, upstream);
-            if (labelled && usable) {
+            boolean usable = acceptsAny || !upstream.suspect() && isFastEnough(unit, upstream);
+            if (labelled && usable && !failed.contains(upstream.agent())) {
                 candidates.add(upstream);
             }
         }
@@ -297,8 +298,23 @@
                         <= Math.max(unit.slackFactor(), UNKNOWN_SLOWNESS_BOUND);
     }
 
-    /** Tells whether an upstream is not suspect and no run of the unit's step has failed on it. */
-    private static boolean isTrusted(WaitingUnit unit, UpstreamCapacity upstream) {
-        return !upstream.suspect() && !unit.failedAgents().contains(upstream.agent());
+    /**
+     * Returns the agents on whose upstreams a run of the unit's step has failed, however long the
+     * unit has waited: each failure there takes one of the few runs that may fail. Returns none if
+     * no other upstream of the service has the required label.
+     */
+    private Set<String> avoidedAgents(WaitingUnit unit) {
+        Set<String> failed = unit.failedAgents();
+        if (failed.isEmpty()) {
+            return failed;
+        }
+        String label = unit.spec().requiredLabel();
+        for (UpstreamCapacity upstream : ledger.upstreams(unit.service(), null)) {
+            boolean labelled = label.isEmpty() || upstream.labels().contains(label);
+            if (labelled && !failed.contains(upstream.agent())) {
+                return failed;
+            }
+        }
+        return Set.of();
     }
 }
