--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/VictimSearch.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/VictimSearch.java
@@ -15,7 +15,6 @@
  */
 final class VictimSearch {
     private final UnitPlacer placer;
-
     private final Collection<RunningUnit> running;
 
     /**
