--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/TaskSchedulerTest.java
@@ -441,49 +441,6 @@
         }
     }
 
-    /** An upstream fails all that it starts, and is always free because of that. */
-    @Nested
-    class FailingUpstream {
-        private final StepSpec step = WorkSamples.step(1, GPU);
-
-        private WaitingUnit unitThatFailedOn(String... agents) {
-            return new WaitingUnit(
-                    "j",
-                    0,
-                    0,
-                    List.of(0),
-                    step,
-                    "s",
-                    "c",
-                    0,
-                    Prospect.LATE,
-                    1_000,
-                    60_000,
-                    0,
-                    false,
-                    1.5,
-                    Set.of(agents),
-                    Map.of());
-        }
-
-        private List<Assignment> starts(WaitingUnit unit) {
-            UpstreamCapacity failing = upstream("x", "r1", NODE);
-            UpstreamCapacity full = upstream("y", "r1", new Resources(0, 0, 0));
-            return TaskScheduler.plan(List.of(unit), List.of(), List.of(failing, full)).starts();
-        }
-
-        @Test
-        void getsNoFurtherRunOfTheStepHoweverLateItIs() {
-            assertThat(starts(unitThatFailedOn("x"))).isEmpty();
-            assertThat(starts(unitThatFailedOn())).hasSize(1);
-        }
-
-        @Test
-        void isTakenIfTheStepHasFailedOnMoreThanHalfOfTheUpstreams() {
-            assertThat(starts(unitThatFailedOn("x", "y"))).hasSize(1);
-        }
-    }
-
     /** Simulates scheduling rounds, one per second, in a rack that small tasks keep full. */
     @Nested
     class StreamOfSmallTasks {
