--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Candidacy.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Candidacy.java
@@ -120,7 +120,7 @@
         reason = suspicion;
         startedMillis = now;
         logEndOffset = UNKNOWN;
-        log.newest(JobStore.TOPIC, JobStore.AFTER_ALL_KEYS)
+        log.newest(JobStore.LOG, JobStore.AFTER_ALL_KEYS)
                 .whenCompleteAsync(
                         (page, error) -> {
                             if (startedMillis != now) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
@@ -60,7 +60,7 @@
      */
     CompletableFuture<Result> run(long endOffset, LongConsumer onClaimStored) {
         LogServiceContact.ClockReading sent = clocks.now();
-        return log.append(JobStore.TOPIC, List.of(claim), endOffset, TIMEOUT)
+        return log.append(JobStore.LOG, List.of(claim), endOffset, TIMEOUT)
                 .thenCompose(
                         outcome -> {
                             if (!outcome.appended()) {
@@ -74,7 +74,7 @@
     private CompletableFuture<Result> load(long epoch, LogServiceContact.ClockReading sent) {
         return JobStore.load(log)
                 .thenCombine(
-                        LatestRecords.read(log, IntakeRequest.TOPIC),
+                        LatestRecords.read(log, IntakeRequest.partition(0)),
                         (jobs, intake) ->
                                 new Result.Won(
                                         new Dispatcher.InitialState(epoch, sent, jobs, intake)));
@@ -85,7 +85,7 @@
      * {@link Result.LogAdvanced}.
      */
     private CompletableFuture<Result> findNewestClaim(long fromOffset, long endOffset) {
-        return log.read(JobStore.TOPIC, fromOffset, Duration.ZERO)
+        return log.read(JobStore.LOG, fromOffset, Duration.ZERO)
                 .thenApply(
                         slice -> {
                             List<KeyedRecord> records = slice.records();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -98,7 +98,7 @@
         DurableWriter writer =
                 new DurableWriter(
                         log,
-                        JobStore.TOPIC,
+                        JobStore.LOG,
                         initialState.epoch(),
                         loop,
                         contact,
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DurableWriter.java
@@ -45,7 +45,7 @@
     private static final int YIELD_FACTOR = 2;
 
     private final KeyedLog log;
-    private final String topic;
+    private final LogPartition partition;
     private final ScheduledExecutorService loop;
     private final LogServiceContact contact;
     private final Metrics metrics;
@@ -125,7 +125,7 @@
      * Creates a writer.
      *
      * @param log the log service
-     * @param topic the log to write
+     * @param partition the log to write
      * @param expectedEnd the offset at which the log ends if no other process has written
      * @param loop the event loop of the owner
      * @param contact records when the log service has responded
@@ -134,14 +134,14 @@
      */
     DurableWriter(
             KeyedLog log,
-            String topic,
+            LogPartition partition,
             long expectedEnd,
             ScheduledExecutorService loop,
             LogServiceContact contact,
             Metrics metrics,
             Listener listener) {
         this.log = log;
-        this.topic = topic;
+        this.partition = partition;
         this.expectedEnd = expectedEnd;
         this.loop = loop;
         this.contact = contact;
@@ -200,7 +200,7 @@
         }
         checking = true;
         LogServiceContact.ClockReading sent = contact.now();
-        log.read(topic, expectedEnd, Duration.ZERO)
+        log.read(partition, expectedEnd, Duration.ZERO)
                 .thenCompose(this::resolveEnd)
                 .whenCompleteAsync(
                         (end, error) -> {
@@ -216,7 +216,7 @@
      */
     private CompletableFuture<Long> resolveEnd(KeyedSlice slice) {
         return slice.expired()
-                ? log.newest(topic, JobStore.AFTER_ALL_KEYS).thenApply(KeyedPage::endOffset)
+                ? log.newest(partition, JobStore.AFTER_ALL_KEYS).thenApply(KeyedPage::endOffset)
                 : CompletableFuture.completedFuture(slice.endOffset());
     }
 
@@ -272,7 +272,7 @@
         return new SchedulerException(
                 FailureType.LOG_UNAVAILABLE,
                 "the call to the log service for "
-                        + topic
+                        + partition
                         + " at offset "
                         + expectedEnd
                         + " has failed: "
@@ -313,7 +313,7 @@
             return;
         }
         LogServiceContact.ClockReading sent = contact.now();
-        log.append(topic, batch.records(), expectedEnd, APPEND_TIMEOUT)
+        log.append(partition, batch.records(), expectedEnd, APPEND_TIMEOUT)
                 .whenCompleteAsync(
                         (outcome, error) -> onAppendResponse(sent, outcome, error), loop);
     }
@@ -410,7 +410,7 @@
      */
     private void identifyRecordsAtEnd() {
         LogServiceContact.ClockReading sent = contact.now();
-        log.read(topic, expectedEnd, Duration.ZERO)
+        log.read(partition, expectedEnd, Duration.ZERO)
                 .whenCompleteAsync(
                         (slice, error) -> {
                             if (closed) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryDirectory.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryDirectory.java
@@ -16,7 +16,7 @@
 /** Registers this entry in a log, and reads the registrations of other entries from it. */
 final class EntryDirectory {
     /** The log in which entries register, each under its address. */
-    static final String TOPIC = "keyed.entries";
+    static final LogPartition LOG = new LogPartition("keyed.entries", 0);
 
     /** The registration of an entry whose record cannot be read. */
     private static final Registration UNREADABLE = new Registration(null, 0.0);
@@ -73,7 +73,7 @@
      * have succeeded.
      */
     void start() {
-        log.newest(TOPIC, "")
+        log.newest(LOG, "")
                 .thenCompose(
                         page -> {
                             Map<String, Registration> registrations = read(page.records());
@@ -81,7 +81,7 @@
                             return registered
                                     ? CompletableFuture.completedFuture(null)
                                     : log.append(
-                                            TOPIC,
+                                            LOG,
                                             List.of(ownRecord),
                                             KeyedLog.ANY_END,
                                             APPEND_TIMEOUT);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FleetFollower.java
@@ -43,7 +43,7 @@
     private static final long MAX_RETRY_MILLIS = 500;
 
     private final KeyedLog log;
-    private final String topic;
+    private final LogPartition partition;
     private final OperatorRecordDecoder decoder;
     private final ScheduledExecutorService loop;
     private final Metrics metrics;
@@ -67,19 +67,19 @@
      * Creates a follower.
      *
      * @param log the log service, not null
-     * @param topic the operator log, not null
+     * @param partition the operator log, not null
      * @param decoder decodes the records, not null
      * @param loop the event loop of the follower, not null
      * @param metrics counts changes, failures and retries, not null
      */
     public FleetFollower(
             KeyedLog log,
-            String topic,
+            LogPartition partition,
             OperatorRecordDecoder decoder,
             ScheduledExecutorService loop,
             Metrics metrics) {
         this.log = log;
-        this.topic = topic;
+        this.partition = partition;
         this.decoder = decoder;
         this.loop = loop;
         this.metrics = metrics;
@@ -183,7 +183,7 @@
         }
         caughtUp = false;
         LogServiceContact.ClockReading sent = contact.now();
-        LatestRecords.read(log, topic)
+        LatestRecords.read(log, partition)
                 .thenApply(latest -> new FleetSnapshot(latest.resumeOffset(), latest.records()))
                 .whenCompleteAsync(
                         (latest, error) -> {
@@ -210,7 +210,7 @@
         Duration wait = caughtUp ? READ_WAIT : Duration.ZERO;
         long from = view.offset();
         LogServiceContact.ClockReading sent = contact.now();
-        log.read(topic, from, wait)
+        log.read(partition, from, wait)
                 .whenCompleteAsync(
                         (slice, error) -> {
                             if (error != null) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeAppender.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeAppender.java
@@ -101,7 +101,7 @@
         long now = contact.now().monotonicMillis();
         if (probe == null || probe.isDone() || now - probeSentMillis > maxAgeMillis) {
             probeSentMillis = now;
-            probe = log.newest(IntakeRequest.TOPIC, JobStore.AFTER_ALL_KEYS);
+            probe = log.newest(IntakeRequest.partition(0), JobStore.AFTER_ALL_KEYS);
         }
         return probe;
     }
@@ -114,7 +114,7 @@
                 toSendAlone.isEmpty() ? nextBatch() : List.of(toSendAlone.remove());
         activeCalls++;
         log.append(
-                        IntakeRequest.TOPIC,
+                        IntakeRequest.partition(0),
                         batch.stream().map(PendingRecord::keyedRecord).toList(),
                         KeyedLog.ANY_END,
                         APPEND_TIMEOUT)
@@ -140,7 +140,7 @@
         if (lastCallFailed != (error != null)) {
             lastCallFailed = error != null;
             EventLog event = EventLog.event(lastCallFailed ? "store-lost" : "store-regained");
-            event.field("log", IntakeRequest.TOPIC);
+            event.field("log", IntakeRequest.partition(0));
             if (lastCallFailed) {
                 event.error(Failures.causeOf(error)).warn();
             } else {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeFollower.java
@@ -162,7 +162,7 @@
      */
     private CompletableFuture<Long> read(Duration wait) {
         long from = offset;
-        return log.read(IntakeRequest.TOPIC, from, wait)
+        return log.read(IntakeRequest.partition(0), from, wait)
                 .thenComposeAsync(
                         slice -> {
                             if (slice.expired()) {
@@ -183,7 +183,7 @@
     private CompletableFuture<Long> reload(long from) {
         EventLog.event("intake-history-lost").field("offset", from).warn();
         metrics.count("intake.reloads");
-        return LatestRecords.read(log, IntakeRequest.TOPIC)
+        return LatestRecords.read(log, IntakeRequest.partition(0))
                 .thenApplyAsync(
                         snapshot -> {
                             if (!closed && snapshot.resumeOffset() >= offset) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeRequest.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeRequest.java
@@ -19,8 +19,8 @@
  * @param submission the submission of the job; null for a cancellation
  */
 record IntakeRequest(IntakeKind kind, String jobId, Submission submission) {
-    /** The intake log, which every entry writes and the dispatcher follows. */
-    static final String TOPIC = "keyed.intake";
+    /** The topic of the intake log, which every entry writes and the dispatcher follows. */
+    private static final String TOPIC = "keyed.intake";
 
     private static final char SEPARATOR = '/';
     private static final byte[] CANCELLATION_VALUE = "{}".getBytes(StandardCharsets.UTF_8);
@@ -37,6 +37,15 @@
         }
     }
 
+    /**
+     * Returns a partition of the intake log. A request may be in any partition, and in several.
+     *
+     * @param number the number of the partition, from 0
+     */
+    static LogPartition partition(int number) {
+        return new LogPartition(TOPIC, number);
+    }
+
     /** Creates a request to submit a job. */
     static IntakeRequest of(Submission submission) {
         return new IntakeRequest(IntakeKind.SUBMISSION, submission.id(), submission);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
@@ -214,7 +214,7 @@
         keysBeingRemoved.addAll(keys);
         List<KeyedRecord> removals =
                 keys.stream().map(key -> new KeyedRecord(key, new byte[0])).toList();
-        log.append(IntakeRequest.TOPIC, removals, KeyedLog.ANY_END, REMOVAL_TIMEOUT)
+        log.append(IntakeRequest.partition(0), removals, KeyedLog.ANY_END, REMOVAL_TIMEOUT)
                 .whenCompleteAsync(
                         (outcome, error) -> {
                             keysBeingRemoved.clear();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
@@ -19,7 +19,7 @@
 /** Defines the keys and values of the job log, and loads its content. */
 final class JobStore {
     /** The job log, which holds jobs, the claims of dispatchers and the speeds of upstreams. */
-    static final String TOPIC = "keyed.jobs";
+    static final LogPartition LOG = new LogPartition("keyed.jobs", 0);
 
     /** The key of the claims by which entries become dispatcher. */
     static final String CLAIM_KEY = "dispatcher";
@@ -105,7 +105,7 @@
      * @return a future of the content
      */
     static CompletableFuture<StoredState> load(KeyedLog log) {
-        return LatestRecords.read(log, TOPIC)
+        return LatestRecords.read(log, LOG)
                 .thenApply(
                         latest -> {
                             Map<String, byte[]> values = new HashMap<>();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/KeyedLog.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/KeyedLog.java
@@ -18,31 +18,31 @@
     /**
      * Appends records, all or none.
      *
-     * @param topic the log, not null
+     * @param partition the log, not null
      * @param records the records, not null
      * @param expectedEnd the offset at which the log must end, or {@link #ANY_END}
      * @param timeout the maximum time to wait for the response, not null
      * @return a future of the outcome
      */
     CompletableFuture<AppendOutcome> append(
-            String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout);
+            LogPartition partition, List<KeyedRecord> records, long expectedEnd, Duration timeout);
 
     /**
      * Reads a page of the newest records of all keys.
      *
-     * @param topic the log, not null
+     * @param partition the log, not null
      * @param afterKey the last key of the previous page; empty for the first page
      * @return a future of the page
      */
-    CompletableFuture<KeyedPage> newest(String topic, String afterKey);
+    CompletableFuture<KeyedPage> newest(LogPartition partition, String afterKey);
 
     /**
      * Reads records in order.
      *
-     * @param topic the log, not null
+     * @param partition the log, not null
      * @param from the offset of the first record
      * @param wait the maximum time for which the log service waits for a record, not null
      * @return a future of the records
      */
-    CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait);
+    CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait);
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/LatestRecords.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/LatestRecords.java
@@ -18,8 +18,8 @@
     }
 
     /** Reads all pages of a keyed log. */
-    static CompletableFuture<LatestRecords> read(KeyedLog log, String topic) {
-        return readPages(log, topic, "", new ArrayList<>(), -1);
+    static CompletableFuture<LatestRecords> read(KeyedLog log, LogPartition partition) {
+        return readPages(log, partition, "", new ArrayList<>(), -1);
     }
 
     /**
@@ -30,8 +30,8 @@
      * @param firstEnd the end offset of the first page; negative if that page is still to be read
      */
     private static CompletableFuture<LatestRecords> readPages(
-            KeyedLog log, String topic, String afterKey, List<KeyedRecord> records, long firstEnd) {
-        return log.newest(topic, afterKey)
+            KeyedLog log, LogPartition partition, String afterKey, List<KeyedRecord> records, long firstEnd) {
+        return log.newest(partition, afterKey)
                 .thenCompose(
                         page -> {
                             records.addAll(page.records());
@@ -44,7 +44,7 @@
                                         new LatestRecords(end, records));
                             }
                             String last = page.records().get(page.records().size() - 1).key();
-                            return readPages(log, topic, last, records, end);
+                            return readPages(log, partition, last, records, end);
                         });
     }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/CandidacyTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/CandidacyTest.java
@@ -49,11 +49,11 @@
 
     private void storeAJob() {
         KeyedRecord job = new KeyedRecord(JobStore.progressKey("job"), new byte[] {1});
-        log.append(JobStore.TOPIC, List.of(job), KeyedLog.ANY_END, Duration.ZERO);
+        log.append(JobStore.LOG, List.of(job), KeyedLog.ANY_END, Duration.ZERO);
     }
 
     private long claimCount() {
-        return log.records(JobStore.TOPIC).stream()
+        return log.records(JobStore.LOG).stream()
                 .filter(r -> r.key().equals(JobStore.CLAIM_KEY))
                 .count();
     }
@@ -220,7 +220,7 @@
         private final DurableWriter writer =
                 new DurableWriter(
                         slowLog,
-                        JobStore.TOPIC,
+                        JobStore.LOG,
                         0,
                         loop,
                         loop.logServiceContact(),
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherBed.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherBed.java
@@ -49,7 +49,7 @@
     Dispatcher claim() {
         ClaimAttempt attempt =
                 new ClaimAttempt(log, new DispatchClaim("here", "p"), loop.logServiceContact());
-        int end = log.records(JobStore.TOPIC).size();
+        int end = log.records(JobStore.LOG).size();
         Dispatcher.InitialState initialState =
                 ((ClaimAttempt.Result.Won) attempt.run(end, epoch -> {}).join()).initialState();
         Dispatcher dispatcher =
@@ -82,7 +82,7 @@
 
     private void store(IntakeRequest request) {
         log.append(
-                IntakeRequest.TOPIC,
+                IntakeRequest.partition(0),
                 List.of(request.toRecord()),
                 KeyedLog.ANY_END,
                 Duration.ofSeconds(1));
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -45,7 +45,7 @@
     private Dispatcher claim() {
         ClaimAttempt attempt =
                 new ClaimAttempt(log, new DispatchClaim("here", "p"), loop.logServiceContact());
-        int end = log.records(JobStore.TOPIC).size();
+        int end = log.records(JobStore.LOG).size();
         Dispatcher.InitialState initialState =
                 ((ClaimAttempt.Result.Won) attempt.run(end, epoch -> {}).join()).initialState();
         Dispatcher dispatcher =
@@ -77,7 +77,7 @@
     /** Stores a request in the intake log, as an entry does. */
     private void storeRequest(IntakeRequest request) {
         log.append(
-                IntakeRequest.TOPIC,
+                IntakeRequest.partition(0),
                 List.of(request.toRecord()),
                 KeyedLog.ANY_END,
                 Duration.ofSeconds(1));
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DurableWriterTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DurableWriterTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.Test;
 
 class DurableWriterTest {
-    private static final String TOPIC = "keyed.test";
+    private static final LogPartition PARTITION = new LogPartition("keyed.test", 0);
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
     private final ManualScheduler loop = new ManualScheduler();
@@ -31,7 +31,7 @@
     private DurableWriter writer(KeyedLog keyedLog) {
         return new DurableWriter(
                 keyedLog,
-                TOPIC,
+                PARTITION,
                 0,
                 loop,
                 loop.logServiceContact(),
@@ -59,7 +59,7 @@
             loop.advance(1_000);
 
             assertThat(stored).containsExactly("a");
-            assertThat(log.records(TOPIC)).hasSize(1);
+            assertThat(log.records(PARTITION)).hasSize(1);
         }
 
         @Test
@@ -75,7 +75,7 @@
 
             log.runDelayedAppends();
 
-            assertThat(log.records(TOPIC)).extracting(KeyedRecord::key).containsExactly("a", "b");
+            assertThat(log.records(PARTITION)).extracting(KeyedRecord::key).containsExactly("a", "b");
         }
     }
 
@@ -89,7 +89,7 @@
             log.limitRecords(LIMIT);
             return new DurableWriter(
                     log,
-                    TOPIC,
+                    PARTITION,
                     0,
                     loop,
                     loop.logServiceContact(),
@@ -120,7 +120,7 @@
 
             assertThat(refused).containsExactly("long");
             assertThat(stored).hasSize(20);
-            assertThat(log.records(TOPIC)).hasSize(20);
+            assertThat(log.records(PARTITION)).hasSize(20);
             assertThat(writer.logFailingForMillis()).isZero();
         }
 
@@ -149,7 +149,7 @@
             loop.advance(1_000);
 
             assertThat(refused).isEmpty();
-            assertThat(log.records(TOPIC)).extracting(KeyedRecord::key).containsExactly("k");
+            assertThat(log.records(PARTITION)).extracting(KeyedRecord::key).containsExactly("k");
         }
     }
 
@@ -158,7 +158,7 @@
         @Test
         void isDetectedByTheNextAppend() {
             DurableWriter writer = writer(log);
-            log.append(TOPIC, List.of(new KeyedRecord("x", new byte[1])), 0, Duration.ZERO);
+            log.append(PARTITION, List.of(new KeyedRecord("x", new byte[1])), 0, Duration.ZERO);
             write(writer, "a");
             loop.advance(100);
 
@@ -169,7 +169,7 @@
         @Test
         void isDetectedByACheckForOtherWriters() {
             DurableWriter writer = writer(log);
-            log.append(TOPIC, List.of(new KeyedRecord("x", new byte[1])), 0, Duration.ZERO);
+            log.append(PARTITION, List.of(new KeyedRecord("x", new byte[1])), 0, Duration.ZERO);
             writer.checkForOtherWriters();
             loop.advance(100);
 
@@ -197,7 +197,7 @@
             writer.put(key, () -> new byte[] {1});
             writer.whenStored(
                     () -> {
-                        assertThat(faultyLog.records(TOPIC))
+                        assertThat(faultyLog.records(PARTITION))
                                 .extracting(KeyedRecord::key)
                                 .contains(key);
                         reportedKeys.add(key);
@@ -214,7 +214,7 @@
         faultyLog.runDelayedAppends();
 
         assertThat(reportedKeys).hasSize(30);
-        assertThat(faultyLog.records(TOPIC))
+        assertThat(faultyLog.records(PARTITION))
                 .extracting(KeyedRecord::key)
                 .containsExactlyElementsOf(reportedKeys);
     }
@@ -227,17 +227,17 @@
 
             @Override
             public CompletableFuture<AppendOutcome> append(
-                    String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
-                return log.append(topic, records, expectedEnd, timeout);
+                    LogPartition partition, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+                return log.append(partition, records, expectedEnd, timeout);
             }
 
             @Override
-            public CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
-                return log.newest(topic, afterKey);
+            public CompletableFuture<KeyedPage> newest(LogPartition partition, String afterKey) {
+                return log.newest(partition, afterKey);
             }
 
             @Override
-            public CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait) {
+            public CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait) {
                 CompletableFuture<KeyedSlice> read = new CompletableFuture<>();
                 reads.add(read);
                 return read;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryAddressValidationTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryAddressValidationTest.java
@@ -29,7 +29,7 @@
     private final ScheduledExecutorService loop = Timers.singleThread("entry");
     private final Metrics metrics = new Metrics();
     private final FleetFollower follower =
-            new FleetFollower(log, "keyed.op", new EmptyDecoder(), loop, metrics);
+            new FleetFollower(log, new LogPartition("keyed.op", 0), new EmptyDecoder(), loop, metrics);
     private final EntryNode node =
             new EntryNode("127.0.0.1:1", 1, INVALID, log, TIMINGS, loop, follower, metrics);
 
@@ -50,7 +50,7 @@
     void start() {
         for (String key : List.of("no address", "10.0.0.1:99999", "127.0.0.1:3")) {
             KeyedRecord entryRecord = new KeyedRecord(key, new byte[] {1});
-            log.append(EntryDirectory.TOPIC, List.of(entryRecord), KeyedLog.ANY_END, Duration.ZERO);
+            log.append(EntryDirectory.LOG, List.of(entryRecord), KeyedLog.ANY_END, Duration.ZERO);
         }
         node.routes(server);
         server.start();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -25,7 +25,7 @@
     private static final long WAIT_SECONDS = 30;
     private static final DispatchTimings TIMINGS =
             new DispatchTimings(7_000, 6_000, 1_800, 60_000, 1_000);
-    private static final String OPERATOR_LOG = "keyed.op";
+    private static final LogPartition OPERATOR_LOG = new LogPartition("keyed.op", 0);
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
     private final List<Entry> entries = new ArrayList<>();
@@ -252,7 +252,7 @@
         }
 
         private long claimCount() {
-            return log.records(JobStore.TOPIC).stream()
+            return log.records(JobStore.LOG).stream()
                     .filter(r -> r.key().equals(JobStore.CLAIM_KEY))
                     .count();
         }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FaultInjectingLog.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FaultInjectingLog.java
@@ -37,26 +37,26 @@
 
     @Override
     public CompletableFuture<AppendOutcome> append(
-            String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+            LogPartition partition, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
         return claimsRefused && expectedEnd != ANY_END
                 ? refused()
-                : unlessClosed(() -> log.append(topic, records, expectedEnd, timeout));
+                : unlessClosed(() -> log.append(partition, records, expectedEnd, timeout));
     }
 
     @Override
-    public CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
-        return unlessClosed(() -> log.newest(topic, afterKey));
+    public CompletableFuture<KeyedPage> newest(LogPartition partition, String afterKey) {
+        return unlessClosed(() -> log.newest(partition, afterKey));
     }
 
     @Override
-    public CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait) {
-        return unlessClosed(() -> log.read(topic, from, Duration.ZERO))
+    public CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait) {
+        return unlessClosed(() -> log.read(partition, from, Duration.ZERO))
                 .thenCompose(
                         slice -> {
                             if (wait.toMillis() <= 0 || !slice.records().isEmpty()) {
                                 return CompletableFuture.completedFuture(slice);
                             }
-                            return later(() -> read(topic, from, wait.minusMillis(POLL_MILLIS)));
+                            return later(() -> read(partition, from, wait.minusMillis(POLL_MILLIS)));
                         });
     }
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetFollowerTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetFollowerTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Test;
 
 class FleetFollowerTest {
-    private static final String TOPIC = "keyed.op";
+    private static final LogPartition PARTITION = new LogPartition("keyed.op", 0);
     private static final long WAIT_SECONDS = 10;
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
@@ -26,7 +26,7 @@
     private final FleetFollower follower = follower(faultyLog);
 
     private FleetFollower follower(KeyedLog keyedLog) {
-        return new FleetFollower(keyedLog, TOPIC, new VersionDecoder(), loop, new Metrics());
+        return new FleetFollower(keyedLog, PARTITION, new VersionDecoder(), loop, new Metrics());
     }
 
     /** Decodes the version of a configuration from the value of its record. */
@@ -54,7 +54,7 @@
 
     private void store(String key, String value) {
         byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
-        log.append(TOPIC, List.of(new KeyedRecord(key, bytes)), KeyedLog.ANY_END, Duration.ZERO);
+        log.append(PARTITION, List.of(new KeyedRecord(key, bytes)), KeyedLog.ANY_END, Duration.ZERO);
     }
 
     private void startWithVersion(long version) throws InterruptedException {
@@ -127,7 +127,7 @@
             FleetFollower other = follower(log);
             other.start();
             Polling.await(
-                    () -> other.snapshot().offset() == log.records(TOPIC).size(), WAIT_SECONDS);
+                    () -> other.snapshot().offset() == log.records(PARTITION).size(), WAIT_SECONDS);
             other.close();
             return other.snapshot();
         }
@@ -148,7 +148,7 @@
             faultyLog.setClosed(false);
             Polling.await(() -> follower.view().version() == 3, WAIT_SECONDS);
             assertThat(follower.view().zonesOut()).isEmpty();
-            assertThat(follower.view().offset()).isEqualTo(log.records(TOPIC).size());
+            assertThat(follower.view().offset()).isEqualTo(log.records(PARTITION).size());
         }
 
         @Test
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeRandomHistoriesTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeRandomHistoriesTest.java
@@ -82,7 +82,7 @@
         private Dispatcher claimAndStart() {
             ClaimAttempt attempt =
                     new ClaimAttempt(log, new DispatchClaim("here", "p"), loop.logServiceContact());
-            int end = log.records(JobStore.TOPIC).size();
+            int end = log.records(JobStore.LOG).size();
             Dispatcher newDispatcher =
                     new Dispatcher(
                             ((ClaimAttempt.Result.Won) attempt.run(end, epoch -> {}).join())
@@ -116,7 +116,7 @@
                 case 4 -> anyId().ifPresent(this::cancel);
                 case 5 -> replaceDispatcher();
                 case 6 -> log.runDelayedAppends();
-                case 7 -> log.compact(IntakeRequest.TOPIC);
+                case 7 -> log.compact(IntakeRequest.partition(0));
                 case 8 -> anyId().ifPresent(this::query);
                 default -> completeOneRun();
             }
@@ -142,7 +142,7 @@
             log.setAppendFault(fault);
             CompletableFuture<AppendOutcome> response =
                     log.append(
-                            IntakeRequest.TOPIC,
+                            IntakeRequest.partition(0),
                             List.of(request.toRecord()),
                             KeyedLog.ANY_END,
                             Duration.ZERO);
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeWriterTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeWriterTest.java
@@ -79,23 +79,23 @@
 
         @Override
         public synchronized CompletableFuture<AppendOutcome> append(
-                String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+                LogPartition partition, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
             if (appends.incrementAndGet() <= appendsWithoutResponse) {
                 CompletableFuture<AppendOutcome> heldResponse = new CompletableFuture<>();
                 heldResponses.add(heldResponse);
                 return heldResponse;
             }
-            return log.append(topic, records, expectedEnd, timeout);
+            return log.append(partition, records, expectedEnd, timeout);
         }
 
         @Override
-        public CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
-            return log.newest(topic, afterKey);
+        public CompletableFuture<KeyedPage> newest(LogPartition partition, String afterKey) {
+            return log.newest(partition, afterKey);
         }
 
         @Override
-        public CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait) {
-            return log.read(topic, from, wait);
+        public CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait) {
+            return log.read(partition, from, wait);
         }
     }
 
@@ -138,7 +138,7 @@
     }
 
     private List<String> keysStored() {
-        return log.records(IntakeRequest.TOPIC).stream().map(KeyedRecord::key).toList();
+        return log.records(IntakeRequest.partition(0)).stream().map(KeyedRecord::key).toList();
     }
 
     @Nested
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
@@ -42,33 +42,33 @@
     /** Refuses appends to one log, or withholds their responses until the test releases them. */
     private final class ControlledLog implements KeyedLog {
         private final List<Runnable> heldResponses = new ArrayList<>();
-        private String heldTopic = "";
-        private String refusedTopic = "";
+        private LogPartition heldPartition;
+        private LogPartition refusedPartition;
 
-        void refuseAppends(String topic) {
-            refusedTopic = topic;
+        void refuseAppends(LogPartition partition) {
+            refusedPartition = partition;
         }
 
-        void holdResponses(String topic) {
-            heldTopic = topic;
+        void holdResponses(LogPartition partition) {
+            heldPartition = partition;
         }
 
         void releaseResponses() {
-            heldTopic = "";
+            heldPartition = null;
             heldResponses.forEach(Runnable::run);
         }
 
         @Override
         public CompletableFuture<AppendOutcome> append(
-                String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
-            if (topic.equals(refusedTopic)) {
+                LogPartition partition, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+            if (partition.equals(refusedPartition)) {
                 return CompletableFuture.failedFuture(
                         new SchedulerException(
                                 FailureType.LOG_UNAVAILABLE, "injected by the test"));
             }
             CompletableFuture<AppendOutcome> outcome =
-                    log.append(topic, records, expectedEnd, timeout);
-            if (!topic.equals(heldTopic)) {
+                    log.append(partition, records, expectedEnd, timeout);
+            if (!partition.equals(heldPartition)) {
                 return outcome;
             }
             CompletableFuture<AppendOutcome> heldResponse = new CompletableFuture<>();
@@ -77,13 +77,13 @@
         }
 
         @Override
-        public CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
-            return log.newest(topic, afterKey);
+        public CompletableFuture<KeyedPage> newest(LogPartition partition, String afterKey) {
+            return log.newest(partition, afterKey);
         }
 
         @Override
-        public CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait) {
-            return log.read(topic, from, wait);
+        public CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait) {
+            return log.read(partition, from, wait);
         }
     }
 
@@ -91,7 +91,7 @@
         ClaimAttempt attempt =
                 new ClaimAttempt(
                         controlledLog, new DispatchClaim("here", "p"), loop.logServiceContact());
-        int end = log.records(JobStore.TOPIC).size();
+        int end = log.records(JobStore.LOG).size();
         Dispatcher dispatcher =
                 new Dispatcher(
                         ((ClaimAttempt.Result.Won) attempt.run(end, epoch -> {}).join())
@@ -109,7 +109,7 @@
     }
 
     private void store(KeyedRecord keyedRecord) {
-        log.append(IntakeRequest.TOPIC, List.of(keyedRecord), KeyedLog.ANY_END, Duration.ZERO)
+        log.append(IntakeRequest.partition(0), List.of(keyedRecord), KeyedLog.ANY_END, Duration.ZERO)
                 .join();
     }
 
@@ -139,8 +139,8 @@
         return status.handle((v, e) -> Failures.typeOf(e)).join();
     }
 
-    private List<String> newestKeys(String topic) {
-        return log.newest(topic, "").join().records().stream().map(KeyedRecord::key).toList();
+    private List<String> newestKeys(LogPartition partition) {
+        return log.newest(partition, "").join().records().stream().map(KeyedRecord::key).toList();
     }
 
     private Submission submissionOfCustomer(String customer) {
@@ -188,7 +188,7 @@
             agent.exchange(dispatcher);
 
             assertThat(agent.running).hasSize(1);
-            assertThat(log.records(JobStore.TOPIC))
+            assertThat(log.records(JobStore.LOG))
                     .filteredOn(r -> r.key().equals(JobStore.submissionKey("j")))
                     .hasSize(1);
         }
@@ -224,7 +224,7 @@
             JobStore.StoredState stored = JobStore.load(log).join();
             assertThat(stored.jobs().get("j").submission().customer()).isEqualTo(job.customer());
             loop.advance(REMOVAL_WAIT_MILLIS);
-            assertThat(newestKeys(IntakeRequest.TOPIC)).isEmpty();
+            assertThat(newestKeys(IntakeRequest.partition(0))).isEmpty();
         }
 
         /**
@@ -237,14 +237,14 @@
             store(IntakeRequest.of(job));
             log.setAppendFault(MemoryKeyedLog.Fault.NONE);
             loop.advance(REMOVAL_WAIT_MILLIS - 1_000);
-            controlledLog.holdResponses(IntakeRequest.TOPIC);
+            controlledLog.holdResponses(IntakeRequest.partition(0));
             loop.advance(1_500);
             store(IntakeRequest.of(job));
             loop.advance(100);
             controlledLog.releaseResponses();
             loop.advance(2 * REMOVAL_WAIT_MILLIS);
 
-            assertThat(newestKeys(IntakeRequest.TOPIC)).isEmpty();
+            assertThat(newestKeys(IntakeRequest.partition(0))).isEmpty();
             assertThat(queryStatus(dispatcher, "j")).isEqualTo(JobStatus.QUEUED);
         }
 
@@ -253,13 +253,13 @@
             Dispatcher first = claimAndStart();
             loop.advance(100);
             store(IntakeRequest.of(job));
-            controlledLog.refuseAppends(JobStore.TOPIC);
+            controlledLog.refuseAppends(JobStore.LOG);
             loop.advance(2 * REMOVAL_WAIT_MILLIS);
             assertThat(queryStatus(first, "j")).isEqualTo(JobStatus.QUEUED);
-            controlledLog.refuseAppends("");
+            controlledLog.refuseAppends(null);
             first.close();
 
-            assertThat(newestKeys(IntakeRequest.TOPIC))
+            assertThat(newestKeys(IntakeRequest.partition(0)))
                     .containsExactly(IntakeRequest.of(job).key());
             assertThat(queryStatus(claimAndStart(), "j")).isEqualTo(JobStatus.QUEUED);
         }
@@ -271,7 +271,7 @@
             cancel("j");
             loop.advance(REMOVAL_WAIT_MILLIS);
 
-            assertThat(newestKeys(IntakeRequest.TOPIC)).isEmpty();
+            assertThat(newestKeys(IntakeRequest.partition(0))).isEmpty();
             assertThat(queryStatus(dispatcher, "j")).isEqualTo(JobStatus.CANCELLED);
             assertThat(queryStatus(claimAndStart(), "j")).isEqualTo(JobStatus.CANCELLED);
         }
@@ -291,7 +291,7 @@
                 agent.exchange(dispatcher);
             }
 
-            assertThat(newestKeys(IntakeRequest.TOPIC)).isEmpty();
+            assertThat(newestKeys(IntakeRequest.partition(0))).isEmpty();
             claimAndStart();
             agent.exchange(dispatcher);
             assertThat(agent.running).isEmpty();
@@ -347,11 +347,11 @@
             claimAndStart();
             cancel("j");
             loop.advance(ENDED_JOB_RETENTION_MILLIS / 2);
-            assertThat(newestKeys(IntakeRequest.TOPIC)).containsExactly("c/j");
+            assertThat(newestKeys(IntakeRequest.partition(0))).containsExactly("c/j");
 
             loop.advance(ENDED_JOB_RETENTION_MILLIS);
 
-            assertThat(newestKeys(IntakeRequest.TOPIC)).isEmpty();
+            assertThat(newestKeys(IntakeRequest.partition(0))).isEmpty();
         }
 
         @Test
@@ -367,7 +367,7 @@
             loop.advance(REMOVAL_WAIT_MILLIS);
 
             assertThat(queryStatus(dispatcher, "j")).isEqualTo(JobStatus.SUCCEEDED);
-            assertThat(newestKeys(IntakeRequest.TOPIC)).isEmpty();
+            assertThat(newestKeys(IntakeRequest.partition(0))).isEmpty();
         }
     }
 
@@ -405,11 +405,11 @@
             // The second dispatcher admits the job and removes its record; then the log is
             // compacted.
             log.append(
-                    IntakeRequest.TOPIC,
+                    IntakeRequest.partition(0),
                     List.of(new KeyedRecord(IntakeRequest.of(job).key(), new byte[0])),
                     KeyedLog.ANY_END,
                     Duration.ZERO);
-            log.compact(IntakeRequest.TOPIC);
+            log.compact(IntakeRequest.partition(0));
 
             CompletableFuture<JobStatus> status = query(first, "j");
 
@@ -426,7 +426,7 @@
             Dispatcher first = claimAndStart();
             loop.advance(50);
             claimAndStart();
-            log.compact(JobStore.TOPIC);
+            log.compact(JobStore.LOG);
 
             assertThat(failure(query(first, "j"))).isEqualTo(FailureType.NOT_DISPATCHER);
             assertThat(replaced).isTrue();
@@ -436,8 +436,8 @@
         void areReportedUnknownAfterCompactionIfNoOtherEntryHasClaimed() {
             Dispatcher dispatcher = claimAndStart();
             loop.advance(50);
-            log.compact(JobStore.TOPIC);
-            log.compact(IntakeRequest.TOPIC);
+            log.compact(JobStore.LOG);
+            log.compact(IntakeRequest.partition(0));
 
             assertThat(queryStatus(dispatcher, "j")).isEqualTo(JobStatus.UNKNOWN);
             assertThat(replaced).isFalse();
@@ -474,7 +474,7 @@
             loop.advance(200);
             store(IntakeRequest.of(job));
             cancel("j");
-            log.compact(IntakeRequest.TOPIC);
+            log.compact(IntakeRequest.partition(0));
             log.setReadFault(MemoryKeyedLog.Fault.NONE);
             loop.advance(1_000);
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobStoreTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobStoreTest.java
@@ -17,7 +17,7 @@
 
     private void store(String key, byte[] value) {
         KeyedRecord keyedRecord = new KeyedRecord(key, value);
-        log.append(JobStore.TOPIC, List.of(keyedRecord), KeyedLog.ANY_END, Duration.ZERO);
+        log.append(JobStore.LOG, List.of(keyedRecord), KeyedLog.ANY_END, Duration.ZERO);
     }
 
     private void store(String key, String value) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/KeyedLogContract.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/KeyedLogContract.java
@@ -13,7 +13,7 @@
  */
 public abstract class KeyedLogContract {
     /** The name of the keyed log that the tests use. */
-    protected static final String TOPIC = "keyed.contract";
+    protected static final LogPartition PARTITION = new LogPartition("keyed.contract", 0);
 
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
@@ -29,7 +29,7 @@
     }
 
     private AppendOutcome append(long expectedEnd, KeyedRecord... records) {
-        return log().append(TOPIC, List.of(records), expectedEnd, TIMEOUT).join();
+        return log().append(PARTITION, List.of(records), expectedEnd, TIMEOUT).join();
     }
 
     @Test
@@ -37,7 +37,7 @@
         append(KeyedLog.ANY_END, keyedRecord("a", "1"), keyedRecord("b", "2"));
         append(KeyedLog.ANY_END, keyedRecord("a", "3"));
 
-        KeyedSlice slice = log().read(TOPIC, 1, Duration.ZERO).join();
+        KeyedSlice slice = log().read(PARTITION, 1, Duration.ZERO).join();
 
         assertThat(slice.records())
                 .extracting(KeyedLogContract::text)
@@ -52,7 +52,7 @@
 
         assertThat(append(0, keyedRecord("c", "3"))).isEqualTo(new AppendOutcome(false, 2));
         assertThat(append(2, keyedRecord("c", "3"))).isEqualTo(new AppendOutcome(true, 3));
-        assertThat(log().read(TOPIC, 0, Duration.ZERO).join().records()).hasSize(3);
+        assertThat(log().read(PARTITION, 0, Duration.ZERO).join().records()).hasSize(3);
     }
 
     @Test
@@ -63,7 +63,7 @@
                 keyedRecord("b", "2"),
                 keyedRecord("a", "3"));
 
-        KeyedPage page = log().newest(TOPIC, "").join();
+        KeyedPage page = log().newest(PARTITION, "").join();
 
         assertThat(page.records())
                 .extracting(KeyedLogContract::text)
@@ -77,7 +77,7 @@
         append(KeyedLog.ANY_END, keyedRecord("a", "1"), keyedRecord("b", "2"));
         append(KeyedLog.ANY_END, keyedRecord("a", ""));
 
-        KeyedPage page = log().newest(TOPIC, "").join();
+        KeyedPage page = log().newest(PARTITION, "").join();
 
         assertThat(page.records()).extracting(KeyedLogContract::text).containsExactly("b=2");
     }
@@ -86,7 +86,7 @@
     void returnsNothingBeyondTheEnd() {
         append(KeyedLog.ANY_END, keyedRecord("a", "1"));
 
-        KeyedSlice slice = log().read(TOPIC, 1, Duration.ofMillis(20)).join();
+        KeyedSlice slice = log().read(PARTITION, 1, Duration.ofMillis(20)).join();
 
         assertThat(slice.records()).isEmpty();
         assertThat(slice.endOffset()).isEqualTo(1);
@@ -101,10 +101,10 @@
         }
         append(KeyedLog.ANY_END, new KeyedRecord("schlüssel", bytes));
 
-        KeyedRecord read = log().read(TOPIC, 0, Duration.ZERO).join().records().get(0);
+        KeyedRecord read = log().read(PARTITION, 0, Duration.ZERO).join().records().get(0);
 
         assertThat(read.key()).isEqualTo("schlüssel");
         assertThat(read.value()).isEqualTo(bytes);
-        assertThat(log().newest(TOPIC, "").join().records().get(0).value()).isEqualTo(bytes);
+        assertThat(log().newest(PARTITION, "").join().records().get(0).value()).isEqualTo(bytes);
     }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeFleetTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeFleetTest.java
@@ -103,7 +103,7 @@
         long now = loop.logServiceContact().now().wallClockMillis();
         Submission submission = new Submission(id, queue, "customer", "service", now, work);
         log.append(
-                IntakeRequest.TOPIC,
+                IntakeRequest.partition(0),
                 List.of(IntakeRequest.of(submission).toRecord()),
                 KeyedLog.ANY_END,
                 Duration.ofSeconds(1));
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeJobTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeJobTest.java
@@ -68,7 +68,7 @@
     }
 
     private long longestRecord() {
-        return bed.log().records(JobStore.TOPIC).stream()
+        return bed.log().records(JobStore.LOG).stream()
                 .mapToLong(r -> 1 + r.key().length() + r.value().length)
                 .max()
                 .orElse(0);
@@ -119,7 +119,7 @@
             }
             agent.exchange(dispatcher);
 
-            assertThat(bed.log().newest(JobStore.TOPIC, "").join().records())
+            assertThat(bed.log().newest(JobStore.LOG, "").join().records())
                     .extracting(KeyedRecord::key)
                     .noneMatch(key -> key.startsWith("b/"));
         }
@@ -136,7 +136,7 @@
                 }
                 agent.exchange(dispatcher);
             }
-            List<KeyedRecord> records = bed.log().records(JobStore.TOPIC);
+            List<KeyedRecord> records = bed.log().records(JobStore.LOG);
             long done = 0;
             for (int end = 1; end <= records.size(); end += 7) {
                 long doneBefore = done;
@@ -148,7 +148,7 @@
 
         private long doneTasks(List<KeyedRecord> records) {
             MemoryKeyedLog prefix = new MemoryKeyedLog();
-            prefix.append(JobStore.TOPIC, records, KeyedLog.ANY_END, Duration.ZERO);
+            prefix.append(JobStore.LOG, records, KeyedLog.ANY_END, Duration.ZERO);
             WorkJob restored = JobStore.load(prefix).join().jobs().get("wide");
             return restored == null
                     ? 0
@@ -252,7 +252,7 @@
         }
         randomAgent.exchange(dispatcher);
 
-        assertThat(randomBed.log().records(JobStore.TOPIC))
+        assertThat(randomBed.log().records(JobStore.LOG))
                 .allMatch(
                         r ->
                                 1 + r.key().length() + r.value().length
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LateClaimTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LateClaimTest.java
@@ -24,7 +24,7 @@
     private static final long WAIT_SECONDS = 20;
     private static final DispatchTimings TIMINGS =
             new DispatchTimings(7_000, 6_000, 1_800, 60_000, 1_000);
-    private static final String OPERATOR_LOG = "keyed.op";
+    private static final LogPartition OPERATOR_LOG = new LogPartition("keyed.op", 0);
     private static final long EPOCH = 5;
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
@@ -74,10 +74,10 @@
     private KeyedLog logWithoutEnd() {
         return new FaultInjectingLog(log) {
             @Override
-            public CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
-                return topic.equals(JobStore.TOPIC)
+            public CompletableFuture<KeyedPage> newest(LogPartition partition, String afterKey) {
+                return partition.equals(JobStore.LOG)
                         ? new CompletableFuture<>()
-                        : super.newest(topic, afterKey);
+                        : super.newest(partition, afterKey);
             }
         };
     }
@@ -142,7 +142,7 @@
         void asksAgainAndFollowsTheClaim() throws InterruptedException {
             Polling.await(() -> knownDispatcher().equals(peerAddress()), WAIT_SECONDS);
 
-            assertThat(log.records(JobStore.TOPIC)).isEmpty();
+            assertThat(log.records(JobStore.LOG)).isEmpty();
         }
     }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/MemoryKeyedLog.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/MemoryKeyedLog.java
@@ -27,10 +27,10 @@
         DELAYED
     }
 
-    private final Map<String, List<KeyedRecord>> topics = new LinkedHashMap<>();
+    private final Map<LogPartition, List<KeyedRecord>> partitions = new LinkedHashMap<>();
 
-    /** The offset before which the records of a log are compacted, by topic. */
-    private final Map<String, Integer> compactedBefore = new HashMap<>();
+    /** The offset before which the records of a log are compacted, by partition. */
+    private final Map<LogPartition, Integer> compactedBefore = new HashMap<>();
 
     private final List<Runnable> delayedAppends = new ArrayList<>();
     private Fault appendFault = Fault.NONE;
@@ -63,8 +63,8 @@
      * Compacts a log, as the log service does after a while: reads that start before its current
      * end are reported as expired.
      */
-    public synchronized void compact(String topic) {
-        compactedBefore.put(topic, records(topic).size());
+    public synchronized void compact(LogPartition partition) {
+        compactedBefore.put(partition, records(partition).size());
     }
 
     /** Returns the number of executed appends. */
@@ -73,13 +73,13 @@
     }
 
     /** Returns all records of a log, including those that were compacted. */
-    public synchronized List<KeyedRecord> records(String topic) {
-        return List.copyOf(topics.getOrDefault(topic, List.of()));
+    public synchronized List<KeyedRecord> records(LogPartition partition) {
+        return List.copyOf(partitions.getOrDefault(partition, List.of()));
     }
 
     @Override
     public synchronized CompletableFuture<AppendOutcome> append(
-            String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+            LogPartition partition, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
         if (records.stream()
                 .anyMatch(r -> 1 + r.key().length() + r.value().length > maxRecordBytes)) {
             return failed(FailureType.LOG_REFUSED);
@@ -89,21 +89,21 @@
                 return failed(FailureType.LOG_UNAVAILABLE);
             }
             case ANSWER_LOST -> {
-                appendNow(topic, records, expectedEnd);
+                appendNow(partition, records, expectedEnd);
                 return failed(FailureType.LOG_UNDECIDED);
             }
             case DELAYED -> {
-                delayedAppends.add(() -> appendNow(topic, records, expectedEnd));
+                delayedAppends.add(() -> appendNow(partition, records, expectedEnd));
                 return failed(FailureType.LOG_UNDECIDED);
             }
             default -> {
-                return CompletableFuture.completedFuture(appendNow(topic, records, expectedEnd));
+                return CompletableFuture.completedFuture(appendNow(partition, records, expectedEnd));
             }
         }
     }
 
-    private AppendOutcome appendNow(String topic, List<KeyedRecord> records, long expectedEnd) {
-        List<KeyedRecord> all = topics.computeIfAbsent(topic, t -> new ArrayList<>());
+    private AppendOutcome appendNow(LogPartition partition, List<KeyedRecord> records, long expectedEnd) {
+        List<KeyedRecord> all = partitions.computeIfAbsent(partition, p -> new ArrayList<>());
         if (expectedEnd != ANY_END && expectedEnd != all.size()) {
             return new AppendOutcome(false, all.size());
         }
@@ -113,12 +113,12 @@
     }
 
     @Override
-    public synchronized CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
+    public synchronized CompletableFuture<KeyedPage> newest(LogPartition partition, String afterKey) {
         if (readFault == Fault.REFUSED) {
             return failed(FailureType.LOG_UNAVAILABLE);
         }
         Map<String, KeyedRecord> newest = new LinkedHashMap<>();
-        List<KeyedRecord> all = topics.getOrDefault(topic, List.of());
+        List<KeyedRecord> all = partitions.getOrDefault(partition, List.of());
         for (KeyedRecord keyedRecord : all) {
             newest.remove(keyedRecord.key());
             if (keyedRecord.value().length > 0) {
@@ -130,12 +130,12 @@
     }
 
     @Override
-    public synchronized CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait) {
+    public synchronized CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait) {
         if (readFault == Fault.REFUSED) {
             return failed(FailureType.LOG_UNAVAILABLE);
         }
-        List<KeyedRecord> all = topics.getOrDefault(topic, List.of());
-        if (from < compactedBefore.getOrDefault(topic, 0)) {
+        List<KeyedRecord> all = partitions.getOrDefault(partition, List.of());
+        if (from < compactedBefore.getOrDefault(partition, 0)) {
             return CompletableFuture.completedFuture(new KeyedSlice(List.of(), from, true));
         }
         int first = (int) Math.min(from, all.size());
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/PeerFleetSyncTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/PeerFleetSyncTest.java
@@ -19,7 +19,7 @@
 
 class PeerFleetSyncTest {
     private static final long WAIT_SECONDS = 10;
-    private static final String TOPIC = "keyed.op";
+    private static final LogPartition PARTITION = new LogPartition("keyed.op", 0);
     private static final List<String> PEERS = List.of("a:1", "b:1", "c:1", "d:1", "e:1");
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
@@ -27,7 +27,7 @@
     private final ScheduledExecutorService loop = Timers.singleThread("follower");
     private final HttpClient http = new HttpClient(4, Duration.ofSeconds(1));
     private final FleetFollower follower =
-            new FleetFollower(faultyLog, TOPIC, new ConstantDecoder(), loop, new Metrics());
+            new FleetFollower(faultyLog, PARTITION, new ConstantDecoder(), loop, new Metrics());
     private final List<String> askedPeers = new ArrayList<>();
     private final PeerFleetSync sync =
             new PeerFleetSync(follower, http, askedPeers::add, Runnable::run);
@@ -48,7 +48,7 @@
     @BeforeEach
     void startFollower() throws InterruptedException {
         KeyedRecord keyedRecord = new KeyedRecord("config", new byte[1]);
-        log.append(TOPIC, List.of(keyedRecord), KeyedLog.ANY_END, Duration.ZERO);
+        log.append(PARTITION, List.of(keyedRecord), KeyedLog.ANY_END, Duration.ZERO);
         follower.start();
         await(follower::viewCurrent);
     }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/SlowKeyedLog.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/SlowKeyedLog.java
@@ -20,18 +20,18 @@
 
     @Override
     public CompletableFuture<AppendOutcome> append(
-            String topic, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
-        return delayed(() -> log.append(topic, records, expectedEnd, timeout));
+            LogPartition partition, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+        return delayed(() -> log.append(partition, records, expectedEnd, timeout));
     }
 
     @Override
-    public CompletableFuture<KeyedPage> newest(String topic, String afterKey) {
-        return delayed(() -> log.newest(topic, afterKey));
+    public CompletableFuture<KeyedPage> newest(LogPartition partition, String afterKey) {
+        return delayed(() -> log.newest(partition, afterKey));
     }
 
     @Override
-    public CompletableFuture<KeyedSlice> read(String topic, long from, Duration wait) {
-        return delayed(() -> log.read(topic, from, wait));
+    public CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait) {
+        return delayed(() -> log.read(partition, from, wait));
     }
 
     private <T> CompletableFuture<T> delayed(Supplier<CompletableFuture<T>> call) {
