--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/ClaimAttempt.java
@@ -73,11 +73,7 @@
 
     private CompletableFuture<Result> load(long epoch, LogServiceContact.ClockReading sent) {
         return JobStore.load(log)
-                .thenCombine(
-                        LatestRecords.read(log, IntakeRequest.partition(0)),
-                        (jobs, intake) ->
-                                new Result.Won(
-                                        new Dispatcher.InitialState(epoch, sent, jobs, intake)));
+                .thenApply(jobs -> new Result.Won(new Dispatcher.InitialState(epoch, sent, jobs)));
     }
 
     /**
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -62,6 +62,7 @@
     private final OrderIssuer orderIssuer;
     private final RunTracker runTracker;
     private final JobIntake intake;
+    private final Set<String> storedCancellations;
     private final StuckRunStopper stuckRunStopper;
     private final WaitTimes waitTimes = new WaitTimes();
     private final ScheduledExecutorService loop;
@@ -75,18 +76,16 @@
      *     later dispatchers have higher epochs
      * @param claimSent when the claim was sent
      * @param storedState the jobs and upstream speeds that are stored in the job log
-     * @param intakeRecords the submissions and cancellations in the intake log
      */
     record InitialState(
             long epoch,
             LogServiceContact.ClockReading claimSent,
-            JobStore.StoredState storedState,
-            LatestRecords intakeRecords) {}
+            JobStore.StoredState storedState) {}
 
     Dispatcher(
             InitialState initialState,
             DispatchTimings timings,
-            KeyedLog log,
+            LogAccess log,
             ScheduledExecutorService loop,
             LogServiceContact contact,
             Supplier<FleetView> fleet,
@@ -97,7 +96,7 @@
         contact.confirm(initialState.claimSent());
         DurableWriter writer =
                 new DurableWriter(
-                        log,
+                        log.service(),
                         JobStore.LOG,
                         initialState.epoch(),
                         loop,
@@ -125,15 +124,9 @@
                         metrics);
         orderIssuer = new OrderIssuer(state, entries);
         runTracker = new RunTracker(state, orderIssuer);
-        intake =
-                new JobIntake(
-                        state,
-                        runTracker,
-                        log,
-                        initialState.intakeRecords(),
-                        loop,
-                        this::requestScheduling);
+        intake = new JobIntake(state, runTracker, log, loop, this::requestScheduling);
         stuckRunStopper = new StuckRunStopper(state);
+        storedCancellations = initialState.storedState().cancellations();
         state.restoreRuns();
         state.removeOldSpeeds();
     }
@@ -145,7 +138,7 @@
 
     /** Starts the admission of jobs and the scheduling rounds. */
     void start() {
-        intake.start();
+        intake.start(storedCancellations);
         loop.schedule(this::tick, 0, TimeUnit.MILLISECONDS);
     }
 
@@ -304,13 +297,13 @@
         long endedBeforeMillis =
                 state.wallClockMillis() - state.timings().endedJobRetentionMillis();
         List<String> oldJobs = new ArrayList<>();
-        // A job is kept while its submission is in the intake log, because the submission of an
+        // A job is kept while its submission may be in the intake log, because the submission of an
         // unknown job is admitted.
         for (WorkJob job : state.jobs().values()) {
             if (job.phase().ended()
                     && job.endedAtMillis() < endedBeforeMillis
                     && job.assignedTasks().isEmpty()
-                    && !intake.hasRecordsToRemove(job.submission().id())) {
+                    && intake.mayForget(job.submission().id())) {
                 oldJobs.add(job.submission().id());
             }
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryNode.java
@@ -70,7 +70,7 @@
 
     private final String address;
     private final String processId = UUID.randomUUID().toString();
-    private final KeyedLog log;
+    private final LogAccess logAccess;
     private final DispatchTimings timings;
     private final ScheduledExecutorService loop;
     private final FleetFollower follower;
@@ -119,7 +119,7 @@
      * @param cores the processor time of the machine, in cores; entries with more of it are
      *     preferred as dispatcher
      * @param seeds the addresses of entries to try first, not null
-     * @param log the log service, not null
+     * @param logAccess the access to the logs of jobs, not null
      * @param timings the time limits of the dispatcher, not null
      * @param loop the event loop of the entry, not null
      * @param follower supplies the fleet view, not null
@@ -129,20 +129,23 @@
             String address,
             double cores,
             List<String> seeds,
-            KeyedLog log,
+            LogAccess logAccess,
             DispatchTimings timings,
             ScheduledExecutorService loop,
             FleetFollower follower,
             Metrics metrics) {
         this.address = address;
         this.cores = cores;
-        this.log = log;
+        this.logAccess = logAccess;
+        KeyedLog log = logAccess.service();
         this.timings = timings;
         this.loop = loop;
         this.follower = follower;
         this.metrics = metrics;
         fleetSync = new PeerFleetSync(follower, http, this::sendHello, loop);
-        intake = new IntakeWriter(log, http, entryState(), loop, clocks, metrics);
+        IntakePartitions partitions =
+                IntakePartitions.create(logAccess, address, loop, clocks, metrics);
+        intake = new IntakeWriter(partitions, http, entryState(), loop, clocks, metrics);
         entryJobApi =
                 new EntryJobApi(
                         intake,
@@ -184,7 +187,7 @@
         // No dispatcher has been heard yet; this counts as a dispatcher silent for too long.
         dispatcherHeardMillis = now() - SUSPECT_AFTER_MILLIS;
         EntryDirectory.Registration own = new EntryDirectory.Registration(processId, cores);
-        new EntryDirectory(log, address, own, loop, this::onRegistrations).start();
+        new EntryDirectory(logAccess.service(), address, own, loop, this::onRegistrations).start();
         loop.schedule(this::tick, 0, TimeUnit.MILLISECONDS);
     }
 
@@ -255,8 +258,8 @@
         return entryJobApi;
     }
 
-    private IntakeWriter.EntryState entryState() {
-        return new IntakeWriter.EntryState(
+    private EntryState entryState() {
+        return new EntryState(
                 follower::logFailing,
                 fleetSync::connectivity,
                 fleetSync::peersWithLogAccess,
@@ -544,7 +547,7 @@
                 new Dispatcher(
                         initialState,
                         timings,
-                        log,
+                        logAccess,
                         loop,
                         LogServiceContact.withSystemClocks(),
                         follower::view,
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeAppender.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeAppender.java
@@ -13,8 +13,8 @@
 import org.fescueloom.failure.Failures;
 
 /**
- * Appends records to the intake log. Records that arrive while the maximum number of calls is in
- * progress are sent together by a later call.
+ * Appends records to one partition of the intake log. Records that arrive while the maximum number
+ * of calls is in progress are sent together by a later call.
  *
  * <p>Confined to the event loop of its owner.
  */
@@ -35,12 +35,18 @@
     private static final Duration APPEND_TIMEOUT = Duration.ofMillis(2_200);
 
     private final KeyedLog log;
+    private final LogPartition partition;
     private final Executor loop;
     private final LogServiceContact contact;
     private final Metrics metrics;
     private final List<PendingRecord> pending = new ArrayList<>();
     private int activeCalls;
-    private boolean lastCallFailed;
+    private boolean failing;
+
+    /**
+     * When the last call that has succeeded was sent. The initial value is before that of any call.
+     */
+    private long lastSuccessSentMillis = Long.MIN_VALUE;
 
     /** The last read that {@link #probe} has sent; null before the first. */
     private CompletableFuture<KeyedPage> probe;
@@ -53,8 +59,23 @@
     /** The records of refused batches, each of which is sent alone. */
     private final Deque<PendingRecord> toSendAlone = new ArrayDeque<>();
 
-    IntakeAppender(KeyedLog log, Executor loop, LogServiceContact contact, Metrics metrics) {
+    /**
+     * Creates an appender.
+     *
+     * @param log the log service
+     * @param partition the partition to append to
+     * @param loop the event loop of the owner
+     * @param contact read for the monotonic time only
+     * @param metrics counts appends and retries
+     */
+    IntakeAppender(
+            KeyedLog log,
+            LogPartition partition,
+            Executor loop,
+            LogServiceContact contact,
+            Metrics metrics) {
         this.log = log;
+        this.partition = partition;
         this.loop = loop;
         this.contact = contact;
         this.metrics = metrics;
@@ -85,9 +106,22 @@
                 || toSendAlone.removeIf(p -> p.stored() == stored);
     }
 
-    /** Tells whether the last call that has ended has failed. */
-    boolean lastCallFailed() {
-        return lastCallFailed;
+    /**
+     * Tests whether the partition fails: a call has failed or was reported by {@link #markSilent},
+     * and no call sent since has succeeded.
+     */
+    boolean failing() {
+        return failing;
+    }
+
+    /** Marks the partition as failing, because a call has had no response for some time. */
+    void markSilent() {
+        setFailing(CallFailures.logUndecided("no response to an append"));
+    }
+
+    /** Returns the partition. */
+    LogPartition partition() {
+        return partition;
     }
 
     /**
@@ -101,7 +135,7 @@
         long now = contact.now().monotonicMillis();
         if (probe == null || probe.isDone() || now - probeSentMillis > maxAgeMillis) {
             probeSentMillis = now;
-            probe = log.newest(IntakeRequest.partition(0), JobStore.AFTER_ALL_KEYS);
+            probe = log.newest(partition, JobStore.AFTER_ALL_KEYS);
         }
         return probe;
     }
@@ -113,12 +147,13 @@
         List<PendingRecord> batch =
                 toSendAlone.isEmpty() ? nextBatch() : List.of(toSendAlone.remove());
         activeCalls++;
+        long sentMillis = contact.now().monotonicMillis();
         log.append(
-                        IntakeRequest.partition(0),
+                        partition,
                         batch.stream().map(PendingRecord::keyedRecord).toList(),
                         KeyedLog.ANY_END,
                         APPEND_TIMEOUT)
-                .whenCompleteAsync((outcome, error) -> onResponse(batch, error), loop);
+                .whenCompleteAsync((outcome, error) -> onResponse(batch, sentMillis, error), loop);
     }
 
     /** Removes and returns the oldest pending records, up to the size of a batch. */
@@ -135,25 +170,30 @@
         return batch;
     }
 
-    /** Remembers whether the last call has failed; logs an event when that changes. */
-    private void updateCallState(Throwable error) {
-        if (lastCallFailed != (error != null)) {
-            lastCallFailed = error != null;
-            EventLog event = EventLog.event(lastCallFailed ? "store-lost" : "store-regained");
-            event.field("log", IntakeRequest.partition(0));
-            if (lastCallFailed) {
-                event.error(Failures.causeOf(error)).warn();
-            } else {
-                event.info();
-            }
+    private void setFailing(Throwable error) {
+        if (!failing) {
+            failing = true;
+            EventLog.event("store-lost").field("log", partition).error(error).warn();
         }
     }
 
-    private void onResponse(List<PendingRecord> batch, Throwable error) {
+    private void setResponding(long sentMillis) {
+        lastSuccessSentMillis = Math.max(lastSuccessSentMillis, sentMillis);
+        if (failing) {
+            failing = false;
+            EventLog.event("store-regained").field("log", partition).info();
+        }
+    }
+
+    private void onResponse(List<PendingRecord> batch, long sentMillis, Throwable error) {
         activeCalls--;
         boolean refused = error != null && Failures.typeOf(error) == FailureType.LOG_REFUSED;
-        // The log service responds to a call that it refuses.
-        updateCallState(refused ? null : error);
+        if (error == null || refused) {
+            // The log service responds to a call that it refuses.
+            setResponding(sentMillis);
+        } else if (sentMillis >= lastSuccessSentMillis) {
+            setFailing(Failures.causeOf(error));
+        }
         if (refused && batch.size() > 1) {
             metrics.countRetry(FailureType.LOG_REFUSED);
             toSendAlone.addAll(batch);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeFollower.java
@@ -13,7 +13,8 @@
 import org.fescueloom.log.Backoff;
 
 /**
- * Follows the intake log on behalf of the dispatcher.
+ * Follows one partition of the intake log on behalf of the dispatcher: delivers the newest record
+ * of each key, then each record that is appended.
  *
  * <p>Records may be delivered more than once, but never out of order, with one exception: if the
  * log service has compacted records that were not read yet, the newest record of each key is
@@ -35,7 +36,11 @@
     /** Maximum pause after a failed read. */
     private static final long MAX_RETRY_MILLIS = 400;
 
+    /** As an offset: nothing has been read yet. */
+    private static final long NOT_READ = -1;
+
     private final KeyedLog log;
+    private final LogPartition partition;
     private final ScheduledExecutorService loop;
     private final Metrics metrics;
     private final Consumer<LatestRecords> snapshotConsumer;
@@ -48,31 +53,32 @@
     /** The catch-up that starts after the current one; null if none was requested. */
     private CompletableFuture<Void> nextCatchUp;
 
-    /** The offset of the next record to deliver. */
-    private long offset;
+    /** The offset of the next record to deliver; {@link #NOT_READ} at first. */
+    private long offset = NOT_READ;
 
     private boolean failing;
     private boolean closed;
 
     /**
-     * Creates a follower that starts at an offset.
+     * Creates a follower that is not started.
      *
      * @param log the log service
-     * @param offset the offset of the first record to read
+     * @param partition the partition to follow
      * @param loop the event loop of the owner
      * @param metrics counts the reloads after a compaction
-     * @param snapshotConsumer receives the newest record of each key after a compaction
+     * @param snapshotConsumer receives the newest record of each key, at first and after a
+     *     compaction
      * @param recordConsumer receives records in order
      */
     IntakeFollower(
             KeyedLog log,
-            long offset,
+            LogPartition partition,
             ScheduledExecutorService loop,
             Metrics metrics,
             Consumer<LatestRecords> snapshotConsumer,
             Consumer<List<KeyedRecord>> recordConsumer) {
         this.log = log;
-        this.offset = offset;
+        this.partition = partition;
         this.loop = loop;
         this.metrics = metrics;
         this.snapshotConsumer = snapshotConsumer;
@@ -89,6 +95,11 @@
         closed = true;
     }
 
+    /** Tests whether the last read has succeeded, so that all records up to then are delivered. */
+    boolean caughtUp() {
+        return offset != NOT_READ && !failing;
+    }
+
     /**
      * Delivers all records that are stored now; concurrent calls share the reads.
      *
@@ -162,7 +173,10 @@
      */
     private CompletableFuture<Long> read(Duration wait) {
         long from = offset;
-        return log.read(IntakeRequest.partition(0), from, wait)
+        if (from == NOT_READ) {
+            return load();
+        }
+        return log.read(partition, from, wait)
                 .thenComposeAsync(
                         slice -> {
                             if (slice.expired()) {
@@ -174,16 +188,19 @@
                         loop);
     }
 
+    private CompletableFuture<Long> reload(long from) {
+        event("intake-history-lost").field("offset", from).warn();
+        metrics.count("intake.reloads");
+        return load();
+    }
+
     /**
-     * Delivers the newest record of each key after a compaction, unless a concurrent read has
-     * advanced further.
+     * Delivers the newest record of each key, unless a concurrent read has advanced further.
      *
      * @return a future of the offset of the next record to read
      */
-    private CompletableFuture<Long> reload(long from) {
-        EventLog.event("intake-history-lost").field("offset", from).warn();
-        metrics.count("intake.reloads");
-        return LatestRecords.read(log, IntakeRequest.partition(0))
+    private CompletableFuture<Long> load() {
+        return LatestRecords.read(log, partition)
                 .thenApplyAsync(
                         snapshot -> {
                             if (!closed && snapshot.resumeOffset() >= offset) {
@@ -212,7 +229,7 @@
     private void markFailing(Throwable error) {
         if (!failing) {
             failing = true;
-            EventLog.event("intake-lost").field("offset", offset).error(error).warn();
+            event("intake-lost").field("offset", offset).error(error).warn();
         }
     }
 
@@ -220,7 +237,11 @@
         backoff.reset();
         if (failing) {
             failing = false;
-            EventLog.event("intake-regained").field("offset", offset).info();
+            event("intake-regained").field("offset", offset).info();
         }
     }
+
+    private EventLog event(String name) {
+        return EventLog.event(name).field("log", partition);
+    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeWriter.java
@@ -1,17 +1,16 @@
 package org.fescueloom.daemon.dispatch;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
-import java.util.function.Supplier;
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.http.HttpClientResponse;
 import org.fescueloom.daemon.logging.EventLog;
@@ -25,9 +24,9 @@
  * Stores submissions and cancellations of callers in the intake log, on any entry, whether or not a
  * dispatcher exists.
  *
- * <p>If a call of this entry to the log service fails or times out, other entries (peers) are asked
- * to store the request. An append whose outcome is unknown is repeated; this is safe because
- * storing a request twice has no further effect.
+ * <p>If a partition of the intake log fails or does not respond, the request is appended to another
+ * one; if all of them fail, other entries (peers) are asked to store it. An append whose outcome is
+ * unknown is repeated; this is safe because storing a request twice has no further effect.
  */
 final class IntakeWriter {
     /**
@@ -42,9 +41,15 @@
      */
     static final int MAX_UNREAD_BYTES = 2 << 20;
 
-    /** Time to wait for the response to an append before the first peer is asked. */
+    /** Time to wait for the responses to the appends of an attempt before a peer is asked. */
     private static final long APPEND_TIMEOUT_MILLIS = 900;
 
+    /**
+     * Time to wait for the response to an append before the request is appended to another
+     * partition, too; a healthy log service responds in about 6 ms.
+     */
+    private static final long PARTITION_TIMEOUT_MILLIS = 150;
+
     /** Time to wait for the response to a read after a call to the log service has failed. */
     private static final long PROBE_TIMEOUT_MILLIS = 300;
 
@@ -66,33 +71,20 @@
      */
     private static final long SHORT_WAIT_RETRY_MILLIS = 40;
 
-    /**
-     * Time for which the outcome of an append is taken to be unknown: the log service may execute
-     * an append seconds after its caller has stopped waiting.
-     */
-    private static final long MAX_APPEND_DELAY_MILLIS = 30_000;
-
-    /** Limits the number of remembered keys of appends with unknown outcome. */
-    private static final int MAX_UNKNOWN_OUTCOMES = 10_000;
-
     /**
      * The lowest HTTP status of a server error. A peer's failure with a lower status is final: no
      * further peer is asked.
      */
     private static final int FIRST_SERVER_ERROR = 500;
 
-    private final IntakeAppender appender;
+    private final IntakePartitions partitions;
     private final HttpClient http;
     private final EntryState entryState;
     private final ScheduledExecutorService loop;
     private final LogServiceContact contact;
     private final Metrics metrics;
 
-    /**
-     * The keys of appends with unknown outcome, oldest first, each with the monotonic time at which
-     * its operation ended.
-     */
-    private final Map<String, Long> unknownOutcomeSince = new LinkedHashMap<>();
+    private final UnknownOutcomes unknownOutcomes = new UnknownOutcomes(this::now);
 
     /**
      * Total size of the requests that this entry has stored since it last knew of a live
@@ -100,27 +92,10 @@
      */
     private long unreadBytes;
 
-    /**
-     * Gives access to the state of the entry; called on the event loop of the entry.
-     *
-     * @param logFailing whether the entry's last read from the log service has failed
-     * @param connectivity whether the entry reaches the log service (itself or through a peer),
-     *     only peers, or neither
-     * @param peers the addresses of the entries to ask, most likely to succeed first
-     * @param jobStored whether the entry knows that a job is stored
-     * @param dispatcherAlive whether the entry is the dispatcher or has recently heard from it
-     */
-    record EntryState(
-            BooleanSupplier logFailing,
-            Supplier<Connectivity> connectivity,
-            Supplier<List<String>> peers,
-            Predicate<String> jobStored,
-            BooleanSupplier dispatcherAlive) {}
-
     /**
      * Creates a writer.
      *
-     * @param log the log service
+     * @param partitions the partitions of the intake log
      * @param http sends requests to peers
      * @param entryState gives access to the state of the entry
      * @param loop the event loop of the entry
@@ -128,13 +103,13 @@
      * @param metrics counts stored requests, appends and retries
      */
     IntakeWriter(
-            KeyedLog log,
+            IntakePartitions partitions,
             HttpClient http,
             EntryState entryState,
             ScheduledExecutorService loop,
             LogServiceContact contact,
             Metrics metrics) {
-        this.appender = new IntakeAppender(log, loop, contact, metrics);
+        this.partitions = partitions;
         this.http = http;
         this.entryState = entryState;
         this.loop = loop;
@@ -188,31 +163,11 @@
         return contact.now().monotonicMillis();
     }
 
-    /**
-     * Tells whether an append of an earlier operation had an unknown outcome, and may still be
-     * executed.
-     */
-    private boolean outcomeStillUnknown(String key) {
-        Long since = unknownOutcomeSince.get(key);
-        return since != null && now() - since < MAX_APPEND_DELAY_MILLIS;
-    }
-
-    private void rememberUnknownOutcome(String key) {
-        // Removing the key first keeps the keys in the order of their times, oldest first.
-        unknownOutcomeSince.remove(key);
-        unknownOutcomeSince.put(key, now());
-        Iterator<Long> oldest = unknownOutcomeSince.values().iterator();
-        while (unknownOutcomeSince.size() > MAX_UNKNOWN_OUTCOMES
-                || oldest.hasNext() && now() - oldest.next() >= MAX_APPEND_DELAY_MILLIS) {
-            unknownOutcomeSince.remove(unknownOutcomeSince.keySet().iterator().next());
-            oldest = unknownOutcomeSince.values().iterator();
-        }
-    }
-
     /**
      * Stores one request: makes attempts until one succeeds, a failure is final, or the caller
-     * stops waiting. An attempt consists of an optional read as a probe, an append, and requests to
-     * peers one after the other. Confined to the event loop.
+     * stops waiting. An attempt consists of appends to one partition after the other, reads as
+     * probes of the partitions that fail, and requests to peers one after the other. Confined to
+     * the event loop.
      */
     private final class StoreOperation {
         private final CompletableFuture<Void> result = new CompletableFuture<>();
@@ -228,6 +183,14 @@
         /** The number of appends and of requests to peers so far. */
         private int tries;
 
+        /** The partitions that the present attempt has tried. */
+        private final Set<IntakeAppender> tried = new HashSet<>();
+
+        /** The time of the first append of the present attempt; meaningless before. */
+        private long firstAppendMillis;
+
+        private boolean appended;
+
         StoreOperation(IntakeRequest request, long waitMillis, boolean mayAskPeers) {
             this.request = request;
             this.encoded = request.toRecord();
@@ -236,7 +199,7 @@
         }
 
         void start() {
-            outcomeUnknown = outcomeStillUnknown(encoded.key());
+            outcomeUnknown = unknownOutcomes.contains(encoded.key());
             loop.schedule(
                     () -> fail(CallFailures.deadlinePassed()),
                     remainingMillis(),
@@ -264,10 +227,31 @@
                                         + unreadBytes
                                         + " bytes, limit "
                                         + MAX_UNREAD_BYTES));
-            } else if (appender.lastCallFailed() || entryState.logFailing().getAsBoolean()) {
-                probe();
             } else {
-                append();
+                tried.clear();
+                appended = false;
+                tryNextPartition(CallFailures.logUnavailable("no partition responds"));
+            }
+        }
+
+        /**
+         * Appends to the next partition that does not fail. If there is none, probes the others
+         * that are left, since one of them may have recovered.
+         *
+         * @param failure the last failure of the present attempt
+         */
+        private void tryNextPartition(SchedulerException failure) {
+            Optional<IntakeAppender> next =
+                    entryState.logFailing().getAsBoolean()
+                            ? Optional.empty()
+                            : partitions.responding(tried);
+            List<IntakeAppender> others = partitions.except(tried);
+            if (next.isPresent()) {
+                append(next.get());
+            } else if (!others.isEmpty()) {
+                probe(others);
+            } else {
+                onLogFailure(failure);
             }
         }
 
@@ -279,21 +263,28 @@
         }
 
         /**
-         * Checks with a read that the log service responds before the request is appended, because
-         * an append without a response has an unknown outcome.
+         * Checks with reads which of some partitions responds first, and appends to that one: an
+         * append without a response has an unknown outcome.
          */
-        private void probe() {
-            RemoteCall remoteCall = new RemoteCall(this::onLogFailure);
-            appender.probe(PROBE_TIMEOUT_MILLIS)
-                    .whenCompleteAsync(
-                            (page, error) -> {
-                                if (error != null) {
-                                    remoteCall.fail(logUnavailable(error));
-                                } else if (remoteCall.finish()) {
-                                    append();
-                                }
-                            },
-                            loop);
+        private void probe(List<IntakeAppender> candidates) {
+            tried.addAll(candidates);
+            RemoteCall remoteCall = newCall(this::onLogFailure);
+            AtomicInteger failures = new AtomicInteger();
+            for (IntakeAppender candidate : candidates) {
+                candidate
+                        .probe(PROBE_TIMEOUT_MILLIS)
+                        .whenCompleteAsync(
+                                (page, error) -> {
+                                    if (error == null) {
+                                        if (remoteCall.finish()) {
+                                            append(candidate);
+                                        }
+                                    } else if (failures.incrementAndGet() == candidates.size()) {
+                                        remoteCall.fail(logUnavailable(error));
+                                    }
+                                },
+                                loop);
+            }
             long timeout = remoteCallTimeout(PROBE_TIMEOUT_MILLIS);
             remoteCall.failAfter(
                     timeout,
@@ -304,43 +295,79 @@
                                             + " ms"));
         }
 
-        /** Appends the request. A late response counts even if a peer has been asked meanwhile. */
-        private void append() {
+        /**
+         * Appends the request to a partition. A late response counts even if another partition or a
+         * peer has been tried meanwhile.
+         */
+        private void append(IntakeAppender appender) {
             tries++;
-            CompletableFuture<Void> appended = appender.append(encoded);
-            RemoteCall remoteCall = new RemoteCall(this::onLogFailure);
-            appended.whenComplete(
+            tried.add(appender);
+            if (!appended) {
+                appended = true;
+                firstAppendMillis = now();
+            }
+            CompletableFuture<Void> stored = appender.append(encoded);
+            RemoteCall remoteCall = newCall(failure -> onAppendFailure(appender, failure));
+            stored.whenComplete(
                     (v, error) -> {
                         if (error == null) {
                             unreadBytes += encoded.value().length;
-                            succeed(null);
+                            succeed(appender.partition(), null);
                         } else {
                             remoteCall.fail(Failures.of(error, FailureType.LOG_UNDECIDED));
                         }
                     });
-            long timeout = remoteCallTimeout(APPEND_TIMEOUT_MILLIS);
+            long timeout = appendTimeout();
             // A record that is withdrawn before it was sent is certainly not stored.
             remoteCall.failAfter(
                     timeout,
                     () ->
-                            appender.withdraw(appended)
+                            appender.withdraw(stored)
                                     ? CallFailures.logUnavailable(
                                             "the append was not sent within "
                                                     + timeout
                                                     + " ms, because too many appends are in"
                                                     + " progress")
-                                    : CallFailures.logUndecided(
-                                            "the log service has not responded to an append within "
-                                                    + timeout
-                                                    + " ms"));
+                                    : silent(appender, timeout));
         }
 
-        private void onLogFailure(SchedulerException failure) {
+        private SchedulerException silent(IntakeAppender appender, long millis) {
+            appender.markSilent();
+            return CallFailures.logUndecided(
+                    "the log service has not responded to an append to "
+                            + appender.partition()
+                            + " within "
+                            + millis
+                            + " ms");
+        }
+
+        /**
+         * Returns the timeout of an append. The last partition of an attempt gets all the time that
+         * the attempt has left for appends.
+         */
+        private long appendTimeout() {
+            long left = APPEND_TIMEOUT_MILLIS - (now() - firstAppendMillis);
+            return remoteCallTimeout(
+                    partitions.except(tried).isEmpty()
+                            ? Math.max(PARTITION_TIMEOUT_MILLIS, left)
+                            : PARTITION_TIMEOUT_MILLIS);
+        }
+
+        private void onAppendFailure(IntakeAppender appender, SchedulerException failure) {
             recordOutcome(failure);
             if (failure.type() == FailureType.LOG_REFUSED) {
                 fail(failure);
                 return;
             }
+            metrics.count("intake.partition-failures");
+            if (remainingMillis() > 0) {
+                tryNextPartition(failure);
+            } else {
+                onLogFailure(failure);
+            }
+        }
+
+        private void onLogFailure(SchedulerException failure) {
             // With any other connectivity, no peer is known to reach the log service.
             boolean askPeers =
                     mayAskPeers && entryState.connectivity().get() == Connectivity.SERVED;
@@ -356,15 +383,14 @@
             tries++;
             String peer = peers.next();
             long timeout = remoteCallTimeout(PEER_TIMEOUT_MILLIS);
-            RemoteCall remoteCall =
-                    new RemoteCall(peerFailure -> onPeerFailure(peerFailure, peers));
+            RemoteCall remoteCall = newCall(peerFailure -> onPeerFailure(peerFailure, peers));
             send(peer, timeout)
                     .whenCompleteAsync(
                             (response, error) -> {
                                 if (error != null) {
                                     remoteCall.fail(CallFailures.noResponse(error));
                                 } else if (response.isSuccess()) {
-                                    succeed(peer);
+                                    succeed(null, peer);
                                 } else {
                                     remoteCall.fail(CallFailures.fromResponse(response));
                                 }
@@ -433,7 +459,8 @@
                 return;
             }
             if (outcomeUnknown) {
-                rememberUnknownOutcome(encoded.key());
+                unknownOutcomes.add(encoded.key());
+                metrics.count("intake.outcomes-unknown");
             }
             result.completeExceptionally(
                     outcomeUnknown
@@ -452,12 +479,13 @@
         /**
          * Completes the operation, unless it has ended before.
          *
+         * @param partition the partition to which this entry has appended; null if a peer did
          * @param peer the peer that stored the request; null if this entry did
          */
-        private void succeed(String peer) {
+        private void succeed(LogPartition partition, String peer) {
             // The key is removed even if the operation has failed meanwhile, since the outcome is
             // known now.
-            unknownOutcomeSince.remove(encoded.key());
+            unknownOutcomes.remove(encoded.key());
             if (result.isDone()) {
                 return;
             }
@@ -466,11 +494,16 @@
                     .field("job", request.jobId())
                     .field("took", now() - startMillis)
                     .field("tries", tries)
+                    .field("log", partition)
                     .field("through", peer)
                     .info();
             result.complete(null);
         }
 
+        private RemoteCall newCall(Consumer<SchedulerException> onFailure) {
+            return new RemoteCall(loop, result::isDone, onFailure);
+        }
+
         private long remainingMillis() {
             return deadlineMillis - now();
         }
@@ -482,47 +515,6 @@
         private long remoteCallTimeout(long maxMillis) {
             return Math.max(1, Math.min(maxMillis, remainingMillis() / 2));
         }
-
-        /**
-         * Represents one remote call of an attempt: the probe, the append, or the request to one
-         * peer. If the call fails or times out, {@code onFailure} runs.
-         */
-        private final class RemoteCall {
-            private final Consumer<SchedulerException> onFailure;
-            private boolean finished;
-
-            RemoteCall(Consumer<SchedulerException> onFailure) {
-                this.onFailure = onFailure;
-            }
-
-            /**
-             * Ends the remote call.
-             *
-             * @return whether neither the remote call nor the whole operation had ended before
-             */
-            boolean finish() {
-                boolean first = !finished && !result.isDone();
-                finished = true;
-                return first;
-            }
-
-            void fail(SchedulerException failure) {
-                if (finish()) {
-                    onFailure.accept(failure);
-                }
-            }
-
-            void failAfter(long millis, Supplier<SchedulerException> failure) {
-                loop.schedule(
-                        () -> {
-                            if (!finished && !result.isDone()) {
-                                fail(failure.get());
-                            }
-                        },
-                        millis,
-                        TimeUnit.MILLISECONDS);
-            }
-        }
     }
 
     private static SchedulerException logUnavailable(Throwable error) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobIntake.java
@@ -1,17 +1,14 @@
 package org.fescueloom.daemon.dispatch;
 
-import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.stream.Stream;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Failures;
@@ -28,24 +25,12 @@
  *
  * <p>The first submission with a job ID is admitted: it is copied to the job log no later than the
  * first change of the job. Once the effect of a request is stored in the job log, its record is
- * removed from the intake log. A cancellation that arrives before its submission is kept for the
- * retention time of ended jobs, after which no append of the submission can still be executed. If
- * more than {@link #MAX_EARLY_CANCELLATIONS} such cancellations are kept, the oldest is dropped.
- * Confined to the event loop of the dispatcher.
+ * removed from the intake log. A cancellation that arrives before its submission is kept in the job
+ * log for the retention time of ended jobs, after which no append of the submission can still be
+ * executed. If more than {@link #MAX_EARLY_CANCELLATIONS} such cancellations are kept, the oldest
+ * is dropped. Confined to the event loop of the dispatcher.
  */
 final class JobIntake {
-    /**
-     * Minimum time between two removals of processed records from the intake log; one call removes
-     * all of them, up to {@link #MAX_REMOVALS_PER_CALL}.
-     */
-    private static final long REMOVAL_INTERVAL_MILLIS = 5_000;
-
-    /**
-     * Keeps a removal below the limit of the log service of 2 MiB per call; a tombstone takes about
-     * 24 bytes.
-     */
-    private static final int MAX_REMOVALS_PER_CALL = 10_000;
-
     /**
      * Maximum number of cancellations kept for jobs that have not been submitted; limits the memory
      * to about 100 bytes for each.
@@ -55,20 +40,12 @@
     /** Time after which a caller may repeat a query that failed because a log could not be read. */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
-    /** Time to wait for the response to a removal. */
-    private static final Duration REMOVAL_TIMEOUT = Duration.ofMillis(900);
-
     private final DispatchState state;
     private final RunTracker runTracker;
-    private final KeyedLog log;
     private final ScheduledExecutorService loop;
     private final Runnable onChange;
-    private final LatestRecords initialRecords;
-    private final IntakeFollower follower;
-    private final Set<String> keysToRemove = new LinkedHashSet<>();
-
-    /** The keys of the removal in progress; empty if there is none. */
-    private final Set<String> keysBeingRemoved = new HashSet<>();
+    private final List<IntakeFollower> followers = new ArrayList<>();
+    private final List<IntakeRemovals> removals = new ArrayList<>();
 
     /**
      * The IDs of jobs that were cancelled but not submitted yet, oldest first, each with the
@@ -76,7 +53,6 @@
      */
     private final Map<String, Long> earlyCancellations = new LinkedHashMap<>();
 
-    private long lastRemovalMillis;
     private boolean closed;
 
     /**
@@ -84,53 +60,62 @@
      *
      * @param state the state that the parts of the dispatcher share
      * @param runTracker ends cancelled jobs
-     * @param log the log service
-     * @param initialRecords the content of the intake log when the dispatcher started
+     * @param log the access to the intake log
      * @param loop the event loop of the dispatcher
      * @param onChange runs after jobs were admitted or cancelled
      */
     JobIntake(
             DispatchState state,
             RunTracker runTracker,
-            KeyedLog log,
-            LatestRecords initialRecords,
+            LogAccess log,
             ScheduledExecutorService loop,
             Runnable onChange) {
         this.state = state;
         this.runTracker = runTracker;
-        this.log = log;
-        this.initialRecords = initialRecords;
         this.loop = loop;
         this.onChange = onChange;
-        follower =
+        for (int i = 0; i < log.intakePartitions(); i++) {
+            follow(log.service(), IntakeRequest.partition(i));
+        }
+    }
+
+    private void follow(KeyedLog log, LogPartition partition) {
+        IntakeRemovals ownRemovals = new IntakeRemovals(log, partition, loop, state.metrics());
+        removals.add(ownRemovals);
+        followers.add(
                 new IntakeFollower(
                         log,
-                        initialRecords.resumeOffset(),
+                        partition,
                         loop,
                         state.metrics(),
-                        this::processSnapshot,
-                        this::processNewRecords);
+                        snapshot -> processSnapshot(snapshot, ownRemovals),
+                        records -> processNewRecords(records, ownRemovals)));
     }
 
-    /** Processes the initial records, and starts to follow the intake log. */
-    void start() {
-        processSnapshot(initialRecords);
-        follower.start();
+    /**
+     * Starts to follow the intake log. A partition that does not respond holds up only its own
+     * records.
+     *
+     * @param storedCancellations the IDs of jobs that were cancelled before they were submitted
+     */
+    void start(Set<String> storedCancellations) {
+        storedCancellations.forEach(this::cancel);
+        followers.forEach(IntakeFollower::start);
     }
 
     /** Stops processing. */
     void close() {
         closed = true;
-        follower.close();
+        followers.forEach(IntakeFollower::close);
     }
 
     /**
      * Returns the stored state of a job.
      *
-     * <p>{@link JobStatus#UNKNOWN} is returned only after this dispatcher has read the intake log
-     * up to the time of the call, and has then confirmed that no other process has written to the
-     * job log. Otherwise another dispatcher could have admitted the job and removed its submission
-     * from the intake log.
+     * <p>{@link JobStatus#UNKNOWN} is returned only after this dispatcher has read all partitions
+     * of the intake log up to the time of the call, and has then confirmed that no other process
+     * has written to the job log. Otherwise another dispatcher could have admitted the job and
+     * removed its submission from the intake log.
      *
      * @param jobId the ID of the job
      * @return a future of the state; fails with {@code NOT_DISPATCHER} if this dispatcher has been
@@ -140,7 +125,7 @@
         if (state.storedStatuses().containsKey(jobId)) {
             return CompletableFuture.completedFuture(state.storedStatuses().get(jobId));
         }
-        return follower.catchUp()
+        return catchUp()
                 .thenComposeAsync(
                         v ->
                                 state.storedStatuses().containsKey(jobId)
@@ -157,6 +142,13 @@
                         loop);
     }
 
+    private CompletableFuture<Void> catchUp() {
+        return CompletableFuture.allOf(
+                followers.stream()
+                        .map(IntakeFollower::catchUp)
+                        .toArray(CompletableFuture<?>[]::new));
+    }
+
     private static SchedulerException readFailure(Throwable error) {
         SchedulerException failure = Failures.of(error);
         return failure.type() == FailureType.NOT_DISPATCHER
@@ -168,28 +160,28 @@
                         failure);
     }
 
-    /** Tells whether submissions of a job are still to be removed from the intake log. */
-    boolean hasRecordsToRemove(String jobId) {
-        String prefix = IntakeKind.SUBMISSION.key(jobId + "/");
-        return Stream.concat(keysToRemove.stream(), keysBeingRemoved.stream())
-                .anyMatch(key -> key.startsWith(prefix));
-    }
-
     /**
-     * Removes the records of processed requests and of expired cancellations from the intake log,
-     * unless a removal is in progress or the last one was too recent.
+     * Tests whether a job may be forgotten: all partitions of the intake log are read, and hold no
+     * submission of the job, which would be admitted again.
      */
+    boolean mayForget(String jobId) {
+        return caughtUp() && removals.stream().noneMatch(r -> r.containsSubmissionOf(jobId));
+    }
+
+    private boolean caughtUp() {
+        return followers.stream().allMatch(IntakeFollower::caughtUp);
+    }
+
+    /** Removes the records of processed requests and of expired cancellations if that is due. */
     void removeProcessedIfDue(long nowMillis) {
-        if (closed
-                || !keysBeingRemoved.isEmpty()
-                || nowMillis - lastRemovalMillis < REMOVAL_INTERVAL_MILLIS) {
+        if (closed) {
             return;
         }
-        expireEarlyCancellations(nowMillis);
-        if (!keysToRemove.isEmpty()) {
-            lastRemovalMillis = nowMillis;
-            removeRecords(keysToRemove.stream().limit(MAX_REMOVALS_PER_CALL).toList());
+        // The submission of a cancelled job may be in a partition that is not read yet.
+        if (caughtUp()) {
+            expireEarlyCancellations(nowMillis);
         }
+        removals.forEach(r -> r.removeIfDue(nowMillis));
     }
 
     private void expireEarlyCancellations(long nowMillis) {
@@ -201,29 +193,15 @@
                                     nowMillis - entry.getValue()
                                             > state.timings().endedJobRetentionMillis();
                             if (expired) {
-                                keysToRemove.add(IntakeKind.CANCELLATION.key(entry.getKey()));
+                                forgetCancellation(entry.getKey());
                             }
                             return expired;
                         });
     }
 
-    private void removeRecords(List<String> keys) {
-        // If a record with one of these keys is stored again during the call, its key is added to
-        // keysToRemove again and removed by the next call.
-        keys.forEach(keysToRemove::remove);
-        keysBeingRemoved.addAll(keys);
-        List<KeyedRecord> removals =
-                keys.stream().map(key -> new KeyedRecord(key, new byte[0])).toList();
-        log.append(IntakeRequest.partition(0), removals, KeyedLog.ANY_END, REMOVAL_TIMEOUT)
-                .whenCompleteAsync(
-                        (outcome, error) -> {
-                            keysBeingRemoved.clear();
-                            if (error != null) {
-                                keysToRemove.addAll(keys);
-                                state.metrics().countRetry(Failures.typeOf(error));
-                            }
-                        },
-                        loop);
+    private void forgetCancellation(String jobId) {
+        // The empty value is a tombstone, which deletes the key.
+        state.writer().put(JobStore.cancellationKey(jobId), () -> new byte[0]);
     }
 
     /**
@@ -231,8 +209,9 @@
      * have different keys; the earliest is admitted. Cancellations have no time of submission and
      * are processed first.
      */
-    private void processSnapshot(LatestRecords snapshot) {
+    private void processSnapshot(LatestRecords snapshot, IntakeRemovals ownRemovals) {
         processRequests(
+                ownRemovals,
                 snapshot.records().stream()
                         .map(IntakeRequest::fromRecord)
                         .flatMap(Optional::stream)
@@ -240,19 +219,20 @@
                         .toList());
     }
 
-    private void processNewRecords(List<KeyedRecord> records) {
+    private void processNewRecords(List<KeyedRecord> records, IntakeRemovals ownRemovals) {
         processRequests(
+                ownRemovals,
                 records.stream().map(IntakeRequest::fromRecord).flatMap(Optional::stream).toList());
     }
 
-    private void processRequests(List<IntakeRequest> requests) {
+    private void processRequests(IntakeRemovals ownRemovals, List<IntakeRequest> requests) {
         if (closed) {
             return;
         }
         boolean changed = false;
         for (IntakeRequest request : requests) {
             try {
-                changed |= processRequest(request);
+                changed |= processRequest(request, ownRemovals);
             } catch (RuntimeException e) {
                 // A request that cannot be processed must not block the requests after it.
                 state.metrics().count("intake.failures");
@@ -269,16 +249,17 @@
     /**
      * Processes a request.
      *
+     * @param ownRemovals removes the record of the request from its partition
      * @return whether a job was admitted or cancelled
      */
-    private boolean processRequest(IntakeRequest request) {
+    private boolean processRequest(IntakeRequest request, IntakeRemovals ownRemovals) {
         return switch (request.kind()) {
-            case SUBMISSION -> admit(request);
-            case CANCELLATION -> cancel(request);
+            case SUBMISSION -> admit(request, ownRemovals);
+            case CANCELLATION -> cancel(request, ownRemovals);
         };
     }
 
-    private boolean admit(IntakeRequest request) {
+    private boolean admit(IntakeRequest request, IntakeRemovals ownRemovals) {
         String id = request.jobId();
         boolean newJob = !state.jobs().containsKey(id);
         if (newJob) {
@@ -290,22 +271,29 @@
             state.metrics().count("tasks.jobs-taken-up");
             logAdmission(submission);
         }
-        removeOnceStored(request.key());
+        removeOnceStored(request.key(), ownRemovals);
         if (earlyCancellations.remove(id) != null) {
-            cancel(IntakeRequest.cancellation(id));
+            cancel(id);
+            state.writer().whenStored(() -> forgetCancellation(id));
         }
         return newJob;
     }
 
-    private boolean cancel(IntakeRequest request) {
-        WorkJob job = state.jobs().get(request.jobId());
+    private boolean cancel(IntakeRequest request, IntakeRemovals ownRemovals) {
+        boolean changed = cancel(request.jobId());
+        removeOnceStored(request.key(), ownRemovals);
+        return changed;
+    }
+
+    /**
+     * Cancels a job, or keeps the cancellation if the job was not submitted yet.
+     *
+     * @return whether the job was active
+     */
+    private boolean cancel(String id) {
+        WorkJob job = state.jobs().get(id);
         if (job == null) {
-            earlyCancellations.putIfAbsent(request.jobId(), state.monotonicMillis());
-            if (earlyCancellations.size() > MAX_EARLY_CANCELLATIONS) {
-                String oldest = earlyCancellations.keySet().iterator().next();
-                earlyCancellations.remove(oldest);
-                keysToRemove.add(IntakeKind.CANCELLATION.key(oldest));
-            }
+            keepCancellation(id);
             return false;
         }
         boolean active = !job.phase().ended();
@@ -313,12 +301,23 @@
             runTracker.endJob(job, JobPhase.CANCELLED);
             state.saveJob(job);
         }
-        removeOnceStored(request.key());
         return active;
     }
 
-    private void removeOnceStored(String key) {
-        state.writer().whenStored(() -> keysToRemove.add(key));
+    private void keepCancellation(String id) {
+        earlyCancellations.putIfAbsent(id, state.monotonicMillis());
+        // Once in the job log, it holds after a takeover even if its partition does not respond.
+        state.writer().put(JobStore.cancellationKey(id), JobStore::encodeCancellation);
+        if (earlyCancellations.size() > MAX_EARLY_CANCELLATIONS) {
+            String oldest = earlyCancellations.keySet().iterator().next();
+            earlyCancellations.remove(oldest);
+            forgetCancellation(oldest);
+        }
+    }
+
+    private void removeOnceStored(String key, IntakeRemovals ownRemovals) {
+        ownRemovals.hold(key);
+        state.writer().whenStored(() -> ownRemovals.release(key));
     }
 
     private void logAdmission(Submission submission) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
@@ -1,9 +1,11 @@
 package org.fescueloom.daemon.dispatch;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
 import org.fescueloom.daemon.logging.EventLog;
@@ -34,6 +36,10 @@
     private static final String PROGRESS_PREFIX = "p/";
     private static final String BLOCK_PREFIX = "b/";
     private static final String SPEED_PREFIX = "u/";
+    private static final String CANCELLATION_PREFIX = "c/";
+
+    /** Has no content, but must not be empty, since an empty value is a tombstone. */
+    private static final byte[] CANCELLATION_VALUE = "{}".getBytes(StandardCharsets.UTF_8);
 
     /** The progress of a job without a progress record. */
     private static final JobProgress NOT_STARTED =
@@ -89,13 +95,27 @@
         return Json.write(speed);
     }
 
+    /** Returns the key under which the cancellation of a job is kept that was not submitted yet. */
+    static String cancellationKey(String jobId) {
+        return CANCELLATION_PREFIX + jobId;
+    }
+
+    /** Returns the value of a cancellation. */
+    static byte[] encodeCancellation() {
+        return CANCELLATION_VALUE.clone();
+    }
+
     /**
      * Holds the content of the job log.
      *
      * @param jobs the jobs, by ID
      * @param speeds the known speeds of upstreams, by agent
+     * @param cancellations the IDs of jobs that were cancelled before they were submitted
      */
-    record StoredState(Map<String, WorkJob> jobs, Map<String, UpstreamSpeed> speeds) {}
+    record StoredState(
+            Map<String, WorkJob> jobs,
+            Map<String, UpstreamSpeed> speeds,
+            Set<String> cancellations) {}
 
     /**
      * Loads the content of the job log. Must be called by the holder of the claim, while no other
@@ -128,7 +148,8 @@
                 decodeAll(
                         values,
                         SPEED_PREFIX,
-                        (agent, value) -> Json.read(value, UpstreamSpeed.class)));
+                        (agent, value) -> Json.read(value, UpstreamSpeed.class)),
+                decodeAll(values, CANCELLATION_PREFIX, (id, value) -> id).keySet());
     }
 
     /**
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/LatestRecords.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/LatestRecords.java
@@ -30,7 +30,11 @@
      * @param firstEnd the end offset of the first page; negative if that page is still to be read
      */
     private static CompletableFuture<LatestRecords> readPages(
-            KeyedLog log, LogPartition partition, String afterKey, List<KeyedRecord> records, long firstEnd) {
+            KeyedLog log,
+            LogPartition partition,
+            String afterKey,
+            List<KeyedRecord> records,
+            long firstEnd) {
         return log.newest(partition, afterKey)
                 .thenCompose(
                         page -> {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherBed.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherBed.java
@@ -37,6 +37,17 @@
     private final FleetView fleet =
             new FleetView(new FleetConfiguration(1, List.of(QUEUE), List.of()), Set.of(), 0);
 
+    private final int intakePartitions;
+
+    /** Creates a bed with one partition of the intake log. */
+    DispatcherBed() {
+        this(1);
+    }
+
+    DispatcherBed(int intakePartitions) {
+        this.intakePartitions = intakePartitions;
+    }
+
     MemoryKeyedLog log() {
         return log;
     }
@@ -56,7 +67,7 @@
                 new Dispatcher(
                         initialState,
                         TIMINGS,
-                        log,
+                        new LogAccess(log, intakePartitions),
                         loop,
                         loop.logServiceContact(),
                         () -> fleet,
@@ -81,13 +92,23 @@
     }
 
     private void store(IntakeRequest request) {
+        store(0, request);
+    }
+
+    /** Appends a request to a partition of the intake log, as an entry does. */
+    void store(int partition, IntakeRequest request) {
         log.append(
-                IntakeRequest.partition(0),
+                IntakeRequest.partition(partition),
                 List.of(request.toRecord()),
                 KeyedLog.ANY_END,
                 Duration.ofSeconds(1));
     }
 
+    /** Returns the keys of a log that are not removed. */
+    List<String> newestKeys(LogPartition partition) {
+        return log.newest(partition, "").join().records().stream().map(KeyedRecord::key).toList();
+    }
+
     /** Returns the stored state of a job. */
     JobStatus jobStatus(Dispatcher dispatcher, String jobId) {
         CompletableFuture<JobStatus> status = dispatcher.status(jobId);
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherTest.java
@@ -52,7 +52,7 @@
                 new Dispatcher(
                         initialState,
                         TIMINGS,
-                        log,
+                        new LogAccess(log, 1),
                         loop,
                         loop.logServiceContact(),
                         this::fleet,
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DurableWriterTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DurableWriterTest.java
@@ -75,7 +75,9 @@
 
             log.runDelayedAppends();
 
-            assertThat(log.records(PARTITION)).extracting(KeyedRecord::key).containsExactly("a", "b");
+            assertThat(log.records(PARTITION))
+                    .extracting(KeyedRecord::key)
+                    .containsExactly("a", "b");
         }
     }
 
@@ -227,7 +229,10 @@
 
             @Override
             public CompletableFuture<AppendOutcome> append(
-                    LogPartition partition, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+                    LogPartition partition,
+                    List<KeyedRecord> records,
+                    long expectedEnd,
+                    Duration timeout) {
                 return log.append(partition, records, expectedEnd, timeout);
             }
 
@@ -237,7 +242,8 @@
             }
 
             @Override
-            public CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait) {
+            public CompletableFuture<KeyedSlice> read(
+                    LogPartition partition, long from, Duration wait) {
                 CompletableFuture<KeyedSlice> read = new CompletableFuture<>();
                 reads.add(read);
                 return read;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryAddressValidationTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryAddressValidationTest.java
@@ -29,9 +29,18 @@
     private final ScheduledExecutorService loop = Timers.singleThread("entry");
     private final Metrics metrics = new Metrics();
     private final FleetFollower follower =
-            new FleetFollower(log, new LogPartition("keyed.op", 0), new EmptyDecoder(), loop, metrics);
+            new FleetFollower(
+                    log, new LogPartition("keyed.op", 0), new EmptyDecoder(), loop, metrics);
     private final EntryNode node =
-            new EntryNode("127.0.0.1:1", 1, INVALID, log, TIMINGS, loop, follower, metrics);
+            new EntryNode(
+                    "127.0.0.1:1",
+                    1,
+                    INVALID,
+                    new LogAccess(log, 1),
+                    TIMINGS,
+                    loop,
+                    follower,
+                    metrics);
 
     /** Decodes no record. */
     private static final class EmptyDecoder implements OperatorRecordDecoder {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryDirectoryTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryDirectoryTest.java
@@ -22,10 +22,7 @@
     private void store(String address, String value) {
         KeyedRecord registration = new KeyedRecord(address, value.getBytes(StandardCharsets.UTF_8));
         log.append(
-                EntryDirectory.LOG,
-                List.of(registration),
-                KeyedLog.ANY_END,
-                Duration.ofSeconds(1));
+                EntryDirectory.LOG, List.of(registration), KeyedLog.ANY_END, Duration.ofSeconds(1));
     }
 
     private void start() {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -77,7 +77,16 @@
             follower =
                     new FleetFollower(
                             ownLog, OPERATOR_LOG, new OneQueueDecoder(), followerLoop, metrics);
-            node = new EntryNode(address, 1, seeds, ownLog, TIMINGS, loop, follower, metrics);
+            node =
+                    new EntryNode(
+                            address,
+                            1,
+                            seeds,
+                            new LogAccess(ownLog, 4),
+                            TIMINGS,
+                            loop,
+                            follower,
+                            metrics);
             node.routes(server);
             follower.start();
             server.start();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FaultInjectingLog.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FaultInjectingLog.java
@@ -56,7 +56,8 @@
                             if (wait.toMillis() <= 0 || !slice.records().isEmpty()) {
                                 return CompletableFuture.completedFuture(slice);
                             }
-                            return later(() -> read(partition, from, wait.minusMillis(POLL_MILLIS)));
+                            return later(
+                                    () -> read(partition, from, wait.minusMillis(POLL_MILLIS)));
                         });
     }
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetFollowerTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FleetFollowerTest.java
@@ -54,7 +54,8 @@
 
     private void store(String key, String value) {
         byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
-        log.append(PARTITION, List.of(new KeyedRecord(key, bytes)), KeyedLog.ANY_END, Duration.ZERO);
+        log.append(
+                PARTITION, List.of(new KeyedRecord(key, bytes)), KeyedLog.ANY_END, Duration.ZERO);
     }
 
     private void startWithVersion(long version) throws InterruptedException {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeRandomHistoriesTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeRandomHistoriesTest.java
@@ -22,8 +22,8 @@
 
 /**
  * Runs random histories: entries store jobs and cancellations, dispatchers replace each other
- * without notice, and the log refuses calls, loses responses, executes appends late and is
- * compacted.
+ * without notice, and the log refuses calls, loses responses, executes appends late, is compacted,
+ * and leaves calls to a partition of the intake without a response.
  */
 class IntakeRandomHistoriesTest {
     /**
@@ -34,6 +34,7 @@
 
     private static final long FIRST_SEED = Long.getLong("histories.seed", 0);
     private static final int STEPS = 80;
+    private static final int INTAKE_PARTITIONS = 3;
     private static final DispatchTimings TIMINGS =
             new DispatchTimings(7_000, 6_000, 1_800, 900_000, 1_000);
     private static final QueuePolicy QUEUE =
@@ -88,7 +89,7 @@
                             ((ClaimAttempt.Result.Won) attempt.run(end, epoch -> {}).join())
                                     .initialState(),
                             TIMINGS,
-                            log,
+                            new LogAccess(log, INTAKE_PARTITIONS),
                             loop,
                             loop.logServiceContact(),
                             () -> FLEET,
@@ -103,21 +104,26 @@
             for (int i = 0; i < STEPS; i++) {
                 step();
             }
+            setSilentPartition(-1);
             log.runDelayedAppends();
+            // The followers read the partitions that were silent.
+            loop.advance(2_000);
             for (int i = 0; i < 200 && !allAcceptedJobsEnded(); i++) {
                 completeOneRun();
             }
         }
 
         private void step() {
-            switch (random.nextInt(10)) {
+            switch (random.nextInt(11)) {
                 case 0, 1, 2 -> submit("job-" + ids.size(), "customer");
                 case 3 -> anyId().ifPresent(id -> submit(id, "someone else"));
                 case 4 -> anyId().ifPresent(this::cancel);
                 case 5 -> replaceDispatcher();
                 case 6 -> log.runDelayedAppends();
-                case 7 -> log.compact(IntakeRequest.partition(0));
-                case 8 -> anyId().ifPresent(this::query);
+                case 7 -> log.compact(anyPartition());
+                // No partition is silent if the number is that of the partitions.
+                case 8 -> setSilentPartition(random.nextInt(INTAKE_PARTITIONS + 1));
+                case 9 -> anyId().ifPresent(this::query);
                 default -> completeOneRun();
             }
             // The response is discarded, as if it had been lost, but the report keeps the leases
@@ -126,6 +132,17 @@
             loop.advance(random.nextInt(400));
         }
 
+        private LogPartition anyPartition() {
+            return IntakeRequest.partition(random.nextInt(INTAKE_PARTITIONS));
+        }
+
+        /** Lets only the partition with the given number be silent. */
+        private void setSilentPartition(int number) {
+            for (int i = 0; i < INTAKE_PARTITIONS; i++) {
+                log.setSilent(IntakeRequest.partition(i), i == number);
+            }
+        }
+
         private Optional<String> anyId() {
             return ids.isEmpty()
                     ? Optional.empty()
@@ -142,7 +159,7 @@
             log.setAppendFault(fault);
             CompletableFuture<AppendOutcome> response =
                     log.append(
-                            IntakeRequest.partition(0),
+                            anyPartition(),
                             List.of(request.toRecord()),
                             KeyedLog.ANY_END,
                             Duration.ZERO);
@@ -170,9 +187,9 @@
         private void cancel(String id) {
             if (store(IntakeRequest.cancellation(id), MemoryKeyedLog.Fault.NONE)) {
                 cancelled.add(id);
+                loop.advance(50);
+                startedRuns.putIfAbsent(id + " when cancelled", startCount(id));
             }
-            loop.advance(50);
-            startedRuns.putIfAbsent(id + " when cancelled", startCount(id));
         }
 
         private void replaceDispatcher() {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeWriterTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeWriterTest.java
@@ -48,19 +48,22 @@
     private volatile boolean logFailing;
     private volatile boolean jobStored;
     private volatile boolean dispatcherAlive = true;
+    private final Metrics metrics = new Metrics();
+    private final LogServiceContact clocks = LogServiceContact.withSystemClocks();
     private final IntakeWriter writer =
             new IntakeWriter(
-                    countingLog,
+                    IntakePartitions.create(
+                            new LogAccess(countingLog, 1), "entry", loop, clocks, metrics),
                     http,
-                    new IntakeWriter.EntryState(
+                    new EntryState(
                             () -> logFailing,
                             () -> connectivity,
                             () -> peers,
                             job -> jobStored,
                             () -> dispatcherAlive),
                     loop,
-                    LogServiceContact.withSystemClocks(),
-                    new Metrics());
+                    clocks,
+                    metrics);
     private final IntakeRequest request = IntakeRequest.of(JobSamples.singleTask("j"));
 
     /**
@@ -79,7 +82,10 @@
 
         @Override
         public synchronized CompletableFuture<AppendOutcome> append(
-                LogPartition partition, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+                LogPartition partition,
+                List<KeyedRecord> records,
+                long expectedEnd,
+                Duration timeout) {
             if (appends.incrementAndGet() <= appendsWithoutResponse) {
                 CompletableFuture<AppendOutcome> heldResponse = new CompletableFuture<>();
                 heldResponses.add(heldResponse);
@@ -94,7 +100,8 @@
         }
 
         @Override
-        public CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait) {
+        public CompletableFuture<KeyedSlice> read(
+                LogPartition partition, long from, Duration wait) {
             return log.read(partition, from, wait);
         }
     }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/JobIntakeTest.java
@@ -60,7 +60,10 @@
 
         @Override
         public CompletableFuture<AppendOutcome> append(
-                LogPartition partition, List<KeyedRecord> records, long expectedEnd, Duration timeout) {
+                LogPartition partition,
+                List<KeyedRecord> records,
+                long expectedEnd,
+                Duration timeout) {
             if (partition.equals(refusedPartition)) {
                 return CompletableFuture.failedFuture(
                         new SchedulerException(
@@ -82,7 +85,8 @@
         }
 
         @Override
-        public CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait) {
+        public CompletableFuture<KeyedSlice> read(
+                LogPartition partition, long from, Duration wait) {
             return log.read(partition, from, wait);
         }
     }
@@ -97,7 +101,7 @@
                         ((ClaimAttempt.Result.Won) attempt.run(end, epoch -> {}).join())
                                 .initialState(),
                         TIMINGS,
-                        controlledLog,
+                        new LogAccess(controlledLog, 1),
                         loop,
                         loop.logServiceContact(),
                         () -> FLEET,
@@ -109,7 +113,11 @@
     }
 
     private void store(KeyedRecord keyedRecord) {
-        log.append(IntakeRequest.partition(0), List.of(keyedRecord), KeyedLog.ANY_END, Duration.ZERO)
+        log.append(
+                        IntakeRequest.partition(0),
+                        List.of(keyedRecord),
+                        KeyedLog.ANY_END,
+                        Duration.ZERO)
                 .join();
     }
 
@@ -347,10 +355,12 @@
             claimAndStart();
             cancel("j");
             loop.advance(ENDED_JOB_RETENTION_MILLIS / 2);
-            assertThat(newestKeys(IntakeRequest.partition(0))).containsExactly("c/j");
+            assertThat(newestKeys(JobStore.LOG)).contains("c/j");
+            assertThat(newestKeys(IntakeRequest.partition(0))).isEmpty();
 
             loop.advance(ENDED_JOB_RETENTION_MILLIS);
 
+            assertThat(newestKeys(JobStore.LOG)).doesNotContain("c/j");
             assertThat(newestKeys(IntakeRequest.partition(0))).isEmpty();
         }
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeFleetTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeFleetTest.java
@@ -54,7 +54,7 @@
                 new Dispatcher(
                         won.initialState(),
                         new DispatchTimings(7_000, 6_000, 1_800, 60_000, 1_000),
-                        log,
+                        new LogAccess(log, 1),
                         loop,
                         loop.logServiceContact(),
                         () -> view,
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LateClaimTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LateClaimTest.java
@@ -101,7 +101,7 @@
                         "127.0.0.9:9",
                         1,
                         List.of(peerAddress()),
-                        ownLog,
+                        new LogAccess(ownLog, 1),
                         TIMINGS,
                         loop,
                         follower,
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/MemoryKeyedLog.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/MemoryKeyedLog.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
@@ -37,6 +39,19 @@
     private Fault readFault = Fault.NONE;
     private int appendCount;
     private int maxRecordBytes = Integer.MAX_VALUE;
+    private final Set<LogPartition> silentPartitions = new HashSet<>();
+
+    /**
+     * Sets whether calls to a partition get no response from now on. They are not executed, and
+     * fail at once with {@code LOG_UNDECIDED}, as if their time were over.
+     */
+    synchronized void setSilent(LogPartition partition, boolean silent) {
+        if (silent) {
+            silentPartitions.add(partition);
+        } else {
+            silentPartitions.remove(partition);
+        }
+    }
 
     /** Refuses appends from now on that hold a longer record, key and its length included. */
     synchronized void limitRecords(int bytes) {
@@ -84,6 +99,9 @@
                 .anyMatch(r -> 1 + r.key().length() + r.value().length > maxRecordBytes)) {
             return failed(FailureType.LOG_REFUSED);
         }
+        if (silentPartitions.contains(partition)) {
+            return failed(FailureType.LOG_UNDECIDED);
+        }
         switch (appendFault) {
             case REFUSED -> {
                 return failed(FailureType.LOG_UNAVAILABLE);
@@ -97,12 +115,14 @@
                 return failed(FailureType.LOG_UNDECIDED);
             }
             default -> {
-                return CompletableFuture.completedFuture(appendNow(partition, records, expectedEnd));
+                return CompletableFuture.completedFuture(
+                        appendNow(partition, records, expectedEnd));
             }
         }
     }
 
-    private AppendOutcome appendNow(LogPartition partition, List<KeyedRecord> records, long expectedEnd) {
+    private AppendOutcome appendNow(
+            LogPartition partition, List<KeyedRecord> records, long expectedEnd) {
         List<KeyedRecord> all = partitions.computeIfAbsent(partition, p -> new ArrayList<>());
         if (expectedEnd != ANY_END && expectedEnd != all.size()) {
             return new AppendOutcome(false, all.size());
@@ -113,7 +133,11 @@
     }
 
     @Override
-    public synchronized CompletableFuture<KeyedPage> newest(LogPartition partition, String afterKey) {
+    public synchronized CompletableFuture<KeyedPage> newest(
+            LogPartition partition, String afterKey) {
+        if (silentPartitions.contains(partition)) {
+            return failed(FailureType.LOG_UNDECIDED);
+        }
         if (readFault == Fault.REFUSED) {
             return failed(FailureType.LOG_UNAVAILABLE);
         }
@@ -130,7 +154,11 @@
     }
 
     @Override
-    public synchronized CompletableFuture<KeyedSlice> read(LogPartition partition, long from, Duration wait) {
+    public synchronized CompletableFuture<KeyedSlice> read(
+            LogPartition partition, long from, Duration wait) {
+        if (silentPartitions.contains(partition)) {
+            return failed(FailureType.LOG_UNDECIDED);
+        }
         if (readFault == Fault.REFUSED) {
             return failed(FailureType.LOG_UNAVAILABLE);
         }
