Give the dispatcher time after the job log alone was silent

Callers would have waited for a change of the dispatcher after each outage of the partition of the job log: entries that the rest of the store serves claim as soon as it responds, before the call that the dispatcher had sent has timed out.

Cause: the time that a dispatcher gets to recover was measured by the operator log, another partition.

Change: a candidate that has seen reads of the job log fail leaves a dispatcher that lives 1.3 s after the first that succeeds: 900 ms until a call without a response times out, and 400 ms of pause. Without a dispatcher it claims at once.

Measured: CandidacyTest$SilentJobLog failed before ("Expecting empty but was: Won"), and passes.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Candidacy.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Candidacy.java
@@ -34,6 +34,12 @@
      */
     private static final long DISPATCHER_RECOVERY_MILLIS = 600;
 
+    /**
+     * The same after an outage in which calls got no response, as seen by this entry: an append
+     * that was sent just before the end of the outage times out after 900 ms.
+     */
+    private static final long DISPATCHER_RECOVERY_FROM_SILENCE_MILLIS = 1_300;
+
     /** As a start time: no candidacy is in progress. As an end offset: not read yet. */
     private static final long UNKNOWN = -1;
 
@@ -50,6 +56,12 @@
     private long logEndOffset = UNKNOWN;
     private boolean claiming;
 
+    /** Whether the last read of the job log has failed. */
+    private boolean jobLogFailing;
+
+    /** When the job log has last recovered. The initial value is long ago. */
+    private long jobLogRecoveredMillis = Long.MIN_VALUE / 2;
+
     /**
      * Creates a candidacy that is not started.
      *
@@ -123,6 +135,7 @@
         log.newest(JobStore.LOG, JobStore.AFTER_ALL_KEYS)
                 .whenCompleteAsync(
                         (page, error) -> {
+                            updateJobLogState(error == null);
                             if (startedMillis != now) {
                                 // The candidacy was cancelled in the meantime.
                                 return;
@@ -136,6 +149,13 @@
                         loop);
     }
 
+    private void updateJobLogState(boolean responds) {
+        if (responds && jobLogFailing) {
+            jobLogRecoveredMillis = clocks.now().monotonicMillis();
+        }
+        jobLogFailing = !responds;
+    }
+
     /** Cancels the candidacy. */
     void cancel() {
         startedMillis = UNKNOWN;
@@ -157,11 +177,19 @@
         if (started()
                 && logEndOffset != UNKNOWN
                 && now >= startedMillis + RESPONSE_WAIT_MILLIS + delayMillis(turn)
+                && now >= earliestClaimMillis()
                 && !claiming) {
             claim(logEndOffset);
         }
     }
 
+    /** Returns the time before which the dispatcher may notice that the job log has recovered. */
+    private long earliestClaimMillis() {
+        return reason == SuspicionReason.LOG_FAILS_IT
+                ? jobLogRecoveredMillis + DISPATCHER_RECOVERY_FROM_SILENCE_MILLIS
+                : Long.MIN_VALUE;
+    }
+
     /**
      * Returns how long an entry waits for those that claim before it. Grows with the logarithm of
      * the turn, so that many entries that do not respond delay the next claim by little. If two
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/CandidacyTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/CandidacyTest.java
@@ -211,6 +211,44 @@
         }
     }
 
+    @Nested
+    class SilentJobLog {
+        /** A call of the dispatcher that was sent just before the recovery times out after 900 ms. */
+        private static final long DISPATCHER_RECOVERY_MILLIS = 1_300;
+
+        private void startAfterOutage(SuspicionReason reason) {
+            log.setSilent(JobStore.LOG, true);
+            start(reason, 0);
+            assertThat(candidacy.started()).isFalse();
+            log.setSilent(JobStore.LOG, false);
+            loop.advance(200);
+            start(reason, 0);
+        }
+
+        /**
+         * Guards against incident 45: an entry that the rest of the log service served replaced a
+         * live dispatcher as soon as the partition of the job log was back.
+         */
+        @Test
+        void leavesTheDispatcherTimeToRecover() {
+            startAfterOutage(SuspicionReason.LOG_FAILS_IT);
+
+            tickAfter(DISPATCHER_RECOVERY_MILLIS - 1);
+            assertThat(results).isEmpty();
+
+            tickAfter(1);
+            assertThat(results).singleElement().isInstanceOf(ClaimAttempt.Result.Won.class);
+        }
+
+        @Test
+        void delaysNoClaimIfThereIsNoDispatcher() {
+            startAfterOutage(SuspicionReason.NO_DISPATCHER);
+
+            tickAfter(RESPONSE_WAIT_MILLIS);
+            assertThat(results).singleElement().isInstanceOf(ClaimAttempt.Result.Won.class);
+        }
+    }
+
     /** A dispatcher that shuts down works on, and its calls to the log service take long. */
     @Nested
     class LeavingDispatcherOnASlowLog {
