--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/CandidacyTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/CandidacyTest.java
@@ -213,7 +213,9 @@
 
     @Nested
     class SilentJobLog {
-        /** A call of the dispatcher that was sent just before the recovery times out after 900 ms. */
+        /**
+         * A call of the dispatcher that was sent just before the recovery times out after 900 ms.
+         */
         private static final long DISPATCHER_RECOVERY_MILLIS = 1_300;
 
         private void startAfterOutage(SuspicionReason reason) {
