Hold the ports of the entries in a test from their choice on

Cause: EntryNodeTest chose free ports, released them and bound them again, so that another process could take one in between.

Change: each entry of the test gets a socket that is bound when its port is chosen. Only the restart of an entry at its old address binds a port anew, as the test is about that.

The clash was not reproduced; the window in which it could happen is gone.

--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryNodeTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +11,7 @@
 import java.util.function.BooleanSupplier;
 import org.fescueloom.daemon.concurrent.Timers;
 import org.fescueloom.daemon.http.HttpServer;
+import org.fescueloom.daemon.http.ListeningSocket;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.fleet.FleetConfiguration;
 import org.fescueloom.fleet.QueuePolicy;
@@ -68,11 +68,14 @@
         private FleetFollower follower;
         private EntryNode node;
 
-        Entry(int port) {
-            server = new HttpServer("127.0.0.1", port, 1 << 20);
+        private final String address;
+
+        Entry(ListeningSocket socket) {
+            address = socket.address();
+            server = new HttpServer(socket, 1 << 20);
         }
 
-        void start(String address, List<String> seeds) {
+        void start(List<String> seeds) {
             Metrics metrics = new Metrics();
             follower =
                     new FleetFollower(
@@ -105,18 +108,12 @@
     @BeforeEach
     void startThreeEntries() throws Exception {
         storeConfiguration(1);
-        List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            try (ServerSocket socket = new ServerSocket(0)) {
-                ports.add(socket.getLocalPort());
-            }
-        }
-        List<String> seeds = ports.stream().map(port -> "127.0.0.1:" + port).toList();
-        for (int port : ports) {
-            Entry entry = new Entry(port);
-            entries.add(entry);
-            entry.start("127.0.0.1:" + port, seeds);
+            // An open socket holds its port, which another process could take otherwise.
+            entries.add(new Entry(ListeningSocket.open("127.0.0.1:0")));
         }
+        List<String> seeds = entries.stream().map(entry -> entry.address).toList();
+        entries.forEach(entry -> entry.start(seeds));
     }
 
     @AfterEach
@@ -169,21 +166,16 @@
     @Nested
     class Restart {
         @Test
-        void ofTheDispatcherAtItsOldAddressLeadsToANewDispatcher() throws InterruptedException {
+        void ofTheDispatcherAtItsOldAddressLeadsToANewDispatcher() throws Exception {
             Entry first = dispatcher();
             await(() -> entries.stream().allMatch(e -> e.node.ready()));
-            int port = first.server.port();
-            String address = "127.0.0.1:" + port;
             List<String> others =
-                    entries.stream()
-                            .filter(e -> e != first)
-                            .map(e -> "127.0.0.1:" + e.server.port())
-                            .toList();
+                    entries.stream().filter(e -> e != first).map(e -> e.address).toList();
             entries.remove(first);
             first.kill();
-            Entry restarted = new Entry(port);
+            Entry restarted = new Entry(ListeningSocket.open(first.address));
             entries.add(restarted);
-            restarted.start(address, others);
+            restarted.start(others);
 
             await(() -> accepts(entries.get(0), "after"));
             assertThat(dispatcher()).isNotSameAs(first);
