Give the JAR files of the modules fixed names

Newcomers saw bin/demo end with "did not listen within 30 s", and bin/fescueloomd with ClassNotFoundException, by the order in which a directory lists the JAR file of the daemon and that of its tests.

Cause: the scripts and the demonstration took the first file that matched a pattern, and the tests' JAR file matches it as well.

A missing one is reported with its path and the command that builds it.

--- a/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/Installation.java
+++ b/fescueloom-standins/src/main/java/org/fescueloom/standins/demo/Installation.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -66,15 +65,12 @@
         return Path.of(System.getProperty("java.home"), "bin", "java").toString();
     }
 
+    /** Returns the JAR file of a module; the build gives it the name of the module. */
     private String jar(String module) {
-        Path target = checkout.resolve(module).resolve("target");
-        try (DirectoryStream<Path> jars = Files.newDirectoryStream(target, module + "-*.jar")) {
-            for (Path jar : jars) {
-                return jar.toString();
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        Path jar = checkout.resolve(module).resolve("target").resolve(module + ".jar");
+        if (!Files.isRegularFile(jar)) {
+            throw new DemoException(jar + " does not exist; run: mvn -q -DskipTests package");
         }
-        throw new DemoException(module + " is not built: no JAR file in " + target);
+        return jar.toString();
     }
 }
