Test that failing partitions are probed before a caller is refused

Cause: with the probes taken out of an attempt in which another partition had been tried, all tests passed.

Change: a test in which the only partition in use refuses, while one that failed before responds again. No product code.

Measured: fails without the probes, passes with them.

--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakePartitionsTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakePartitionsTest.java
@@ -12,6 +12,7 @@
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.Failures;
+import org.fescueloom.failure.SchedulerException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -54,6 +55,7 @@
     /** Gives no response to the calls to some partitions, and may execute the appends later. */
     private final class HangingLog implements KeyedLog {
         private final Set<LogPartition> hanging = new HashSet<>();
+        private final Set<LogPartition> refusing = new HashSet<>();
         private final List<Runnable> heldAppends = new ArrayList<>();
         private int appends;
 
@@ -64,6 +66,11 @@
                 long expectedEnd,
                 Duration timeout) {
             appends++;
+            if (refusing.contains(partition)) {
+                return CompletableFuture.failedFuture(
+                        new SchedulerException(
+                                FailureType.LOG_UNAVAILABLE, "injected by the test"));
+            }
             if (!hanging.contains(partition)) {
                 return log.append(partition, records, expectedEnd, timeout);
             }
@@ -154,6 +161,16 @@
             assertThat(storedIn(3, request("second"))).isTrue();
         }
 
+        @Test
+        void areProbedBeforeACallerIsRefused() {
+            hangAllBut(1);
+            storeInTime(request("first"));
+            hangingLog.hanging.clear();
+            hangingLog.refusing.add(IntakeRequest.partition(1));
+
+            storeInTime(request("second"));
+        }
+
         @Test
         void areProbedTogetherWhileTheOperatorLogFails() {
             operatorLogFailing = true;
