Leave the outcome of an append at the deadline unknown

Cause: an operation remembered that an append may be executed only once that append had failed or timed out, and at the deadline answered by that memory.

Change: at the deadline, an append that was sent, or a request to a peer, without a response makes the outcome unknown. One that was not sent is withdrawn. Both tests share the construction of the writer.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeWriter.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeWriter.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.http.HttpClientResponse;
@@ -180,6 +181,9 @@
         /** Whether an append of the request may have been or may still be executed. */
         private boolean outcomeUnknown;
 
+        /** Whether the append or the request to a peer in progress may still store the request. */
+        private BooleanSupplier mayBeStored = () -> false;
+
         /** The number of appends and of requests to peers so far. */
         private int tries;
 
@@ -308,6 +312,7 @@
             }
             CompletableFuture<Void> stored = appender.append(encoded);
             RemoteCall remoteCall = newCall(failure -> onAppendFailure(appender, failure));
+            mayBeStored = () -> !remoteCall.finished() && !appender.withdraw(stored);
             stored.whenComplete(
                     (v, error) -> {
                         if (error == null) {
@@ -384,6 +389,7 @@
             String peer = peers.next();
             long timeout = remoteCallTimeout(PEER_TIMEOUT_MILLIS);
             RemoteCall remoteCall = newCall(peerFailure -> onPeerFailure(peerFailure, peers));
+            mayBeStored = () -> !remoteCall.finished();
             send(peer, timeout)
                     .whenCompleteAsync(
                             (response, error) -> {
@@ -458,6 +464,7 @@
             if (result.isDone()) {
                 return;
             }
+            outcomeUnknown |= mayBeStored.getAsBoolean();
             if (outcomeUnknown) {
                 unknownOutcomes.add(encoded.key());
                 metrics.count("intake.outcomes-unknown");
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RemoteCall.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RemoteCall.java
@@ -45,6 +45,11 @@
         return first;
     }
 
+    /** Tests whether the call has ended. */
+    boolean finished() {
+        return finished;
+    }
+
     /** Ends the call with a failure, unless it has ended before. */
     void fail(SchedulerException failure) {
         if (finish()) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeOutcomesTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeOutcomesTest.java
@@ -63,25 +63,13 @@
             for (int i = 0; i < PARTITIONS; i++) {
                 behaviours.add(Behaviour.ANSWERS);
             }
-            Metrics metrics = new Metrics();
             writer =
-                    new IntakeWriter(
-                            IntakePartitions.create(
-                                    new LogAccess(this, PARTITIONS),
-                                    "entry-" + seed,
-                                    loop,
-                                    loop.logServiceContact(),
-                                    metrics),
-                            http,
-                            new EntryState(
-                                    () -> operatorLogFailing,
-                                    () -> Connectivity.SERVED,
-                                    List::of,
-                                    job -> false,
-                                    () -> true),
+                    IntakePartitionsTest.createWriter(
+                            new LogAccess(this, PARTITIONS),
                             loop,
-                            loop.logServiceContact(),
-                            metrics);
+                            http,
+                            () -> operatorLogFailing,
+                            new Metrics());
         }
 
         @Override
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakePartitionsTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakePartitionsTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.fescueloom.daemon.http.HttpClient;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
@@ -34,24 +35,35 @@
     private final HttpClient http = new HttpClient(1, Duration.ofSeconds(1));
     private boolean operatorLogFailing;
     private final IntakeWriter writer =
-            new IntakeWriter(
-                    IntakePartitions.create(
-                            new LogAccess(hangingLog, PARTITIONS),
-                            "entry",
-                            loop,
-                            loop.logServiceContact(),
-                            metrics),
-                    http,
-                    new EntryState(
-                            () -> operatorLogFailing,
-                            () -> Connectivity.SERVED,
-                            List::of,
-                            job -> false,
-                            () -> true),
+            createWriter(
+                    new LogAccess(hangingLog, PARTITIONS),
                     loop,
-                    loop.logServiceContact(),
+                    http,
+                    () -> operatorLogFailing,
                     metrics);
 
+    /** Creates the writer of an entry that knows no other entry. */
+    static IntakeWriter createWriter(
+            LogAccess log,
+            ManualScheduler loop,
+            HttpClient http,
+            BooleanSupplier operatorLogFailing,
+            Metrics metrics) {
+        LogServiceContact clocks = loop.logServiceContact();
+        return new IntakeWriter(
+                IntakePartitions.create(log, "entry", loop, clocks, metrics),
+                http,
+                new EntryState(
+                        operatorLogFailing,
+                        () -> Connectivity.SERVED,
+                        List::of,
+                        job -> false,
+                        () -> true),
+                loop,
+                clocks,
+                metrics);
+    }
+
     /** Gives no response to the calls to some partitions, and may execute the appends later. */
     private final class HangingLog implements KeyedLog {
         private final Set<LogPartition> hanging = new HashSet<>();
@@ -215,4 +227,29 @@
             assertThat(call).isCompletedWithValue(null);
         }
     }
+
+    @Nested
+    class Deadlines {
+        /**
+         * Guards against a false "not run": the deadline came while an append was in progress that
+         * had not timed out yet.
+         */
+        @Test
+        void leaveTheOutcomeOfAnAppendInProgressUnknown() {
+            hangAllBut(-1);
+            for (int waitMillis = 1; waitMillis <= 10; waitMillis++) {
+                int appendsBefore = hangingLog.appends;
+                CompletableFuture<Void> call =
+                        writer.store(request("job-" + waitMillis), waitMillis);
+                loop.advance(waitMillis);
+                assertThat(hangingLog.appends).isGreaterThan(appendsBefore);
+                assertThat(call.handle((v, error) -> Failures.typeOf(error)))
+                        .as("a caller that waits for %d ms", waitMillis)
+                        .isCompletedWithValue(FailureType.OUTCOME_UNKNOWN);
+                // The responses make the partitions respond again for the next caller.
+                hangingLog.heldAppends.forEach(Runnable::run);
+                loop.advance(0);
+            }
+        }
+    }
 }
