Read a failing partition of the intake without a wait

Jobs and cancellations that were stored just before an outage of their partition took effect up to 2.3 s after its end.

Cause: the read that follows a failed one waited for records, so it took a second longer to time out, and as long to show that the partition responds.

Change: while reads fail, none of them waits, as in FleetFollower.

Measured: IntakeFollowerTest failed before (expected 0S but was 1S).

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeFollower.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeFollower.java
@@ -152,7 +152,8 @@
         if (closed) {
             return;
         }
-        read(READ_WAIT)
+        // While reads fail, none waits for records: the response shows that the partition recovers.
+        read(failing ? Duration.ZERO : READ_WAIT)
                 .whenCompleteAsync(
                         (end, error) -> {
                             if (error == null) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeFollowerTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/IntakeFollowerTest.java
@@ -62,6 +62,21 @@
             assertThat(bed.jobStatus(dispatcher, "j")).isEqualTo(JobStatus.QUEUED);
         }
 
+        /**
+         * Guards against a late recovery: a read that waits for records takes a second longer to
+         * time out, and as long to show that a partition responds.
+         */
+        @Test
+        void areReadWithoutAWaitUntilTheyRespond() {
+            bed.claim();
+            loop.advance(100);
+            assertThat(bed.log().lastWait(IntakeRequest.partition(0))).isPositive();
+            setSilent(0, true);
+            loop.advance(2_000);
+            assertThat(bed.log().lastWait(IntakeRequest.partition(0))).isZero();
+            assertThat(bed.log().lastWait(IntakeRequest.partition(1))).isPositive();
+        }
+
         @Test
         void leaveItOpenWhetherAJobExists() {
             Dispatcher dispatcher = bed.claim();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/MemoryKeyedLog.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/MemoryKeyedLog.java
@@ -40,6 +40,12 @@
     private int appendCount;
     private int maxRecordBytes = Integer.MAX_VALUE;
     private final Set<LogPartition> silentPartitions = new HashSet<>();
+    private final Map<LogPartition, Duration> lastWaits = new HashMap<>();
+
+    /** Returns for how long the last read of a partition would have waited for records. */
+    synchronized Duration lastWait(LogPartition partition) {
+        return lastWaits.get(partition);
+    }
 
     /**
      * Sets whether calls to a partition get no response from now on. They are not executed, and
@@ -156,6 +162,7 @@
     @Override
     public synchronized CompletableFuture<KeyedSlice> read(
             LogPartition partition, long from, Duration wait) {
+        lastWaits.put(partition, wait);
         if (silentPartitions.contains(partition)) {
             return failed(FailureType.LOG_UNDECIDED);
         }
