Let a probe that fails mark its partition as failing

Operators could not explain a refusal: if the reads of an entry failed before its first append, it probed the log, refused, and logged no store-lost.

Cause: only appends changed the state of a partition.

Change: a probe that fails marks its partition as failing and logs store-lost. An append that succeeds ends that, as before.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeAppender.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/IntakeAppender.java
@@ -136,6 +136,7 @@
         if (probe == null || probe.isDone() || now - probeSentMillis > maxAgeMillis) {
             probeSentMillis = now;
             probe = log.newest(partition, JobStore.AFTER_ALL_KEYS);
+            probe.whenCompleteAsync((page, error) -> onCallEnd(now, error), loop);
         }
         return probe;
     }
@@ -170,6 +171,19 @@
         return batch;
     }
 
+    /**
+     * Marks the partition as failing if a call has failed, unless one that was sent later has
+     * succeeded.
+     *
+     * @param sentMillis when the call was sent
+     * @param error the failure of the call; null if it has succeeded
+     */
+    private void onCallEnd(long sentMillis, Throwable error) {
+        if (error != null && sentMillis >= lastSuccessSentMillis) {
+            setFailing(Failures.causeOf(error));
+        }
+    }
+
     private void setFailing(Throwable error) {
         if (!failing) {
             failing = true;
@@ -191,8 +205,8 @@
         if (error == null || refused) {
             // The log service responds to a call that it refuses.
             setResponding(sentMillis);
-        } else if (sentMillis >= lastSuccessSentMillis) {
-            setFailing(Failures.causeOf(error));
+        } else {
+            onCallEnd(sentMillis, error);
         }
         if (refused && batch.size() > 1) {
             metrics.countRetry(FailureType.LOG_REFUSED);
