Test that a client of the log service keeps partitions apart

Cause: the contract of the log knew one partition only.

Change: one more case of the contract, for the client over HTTP and for the log in memory. No product code.

--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/KeyedLogContract.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/KeyedLogContract.java
@@ -107,4 +107,16 @@
         assertThat(read.value()).isEqualTo(bytes);
         assertThat(log().newest(PARTITION, "").join().records().get(0).value()).isEqualTo(bytes);
     }
+
+    /** Guards against incident 45: the number of the partition was not sent, but always 0. */
+    @Test
+    void keepsPartitionsApart() {
+        LogPartition other = new LogPartition(PARTITION.topic(), 3);
+        log().append(other, List.of(new KeyedRecord("k", new byte[] {1})), 0, TIMEOUT).join();
+
+        assertThat(log().newest(other, "").join().records()).hasSize(1);
+        assertThat(log().read(other, 0, Duration.ZERO).join().records()).hasSize(1);
+        assertThat(log().newest(PARTITION, "").join().records()).isEmpty();
+        assertThat(log().read(PARTITION, 0, Duration.ZERO).join().endOffset()).isZero();
+    }
 }
