Log by what evidence a run ended

Change: run-ended names the evidence, the age of the agent's report and the reported incarnation; tasks.ends-by counts ends by evidence. upstream-departed names the start time in the deregistration, the age of the last poll and the number of listed runs; upstream-changed names the incarnation before. No decision changes.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
@@ -160,7 +160,12 @@
                                 .info();
                     } else {
                         notice = notice.withStateGone();
-                        EventLog.event("upstream-departed").field("boot", notice.boot()).info();
+                        EventLog.event("upstream-departed")
+                                .field("boot", notice.boot())
+                                .field("born", bornMillis)
+                                .field("polled-ago", lease.clockAgeMillis(Clocks.monotonicMillis()))
+                                .field("running", running.size())
+                                .info();
                         reportIfDispatcherKnown();
                     }
                 });
@@ -172,6 +177,7 @@
         }
         boolean newBoot = notice == null || !notice.boot().equals(newNotice.boot());
         boolean stateChanged = newBoot || notice.state() != newNotice.state();
+        String bootBefore = notice == null ? "" : notice.boot();
         notice = newNotice;
         if (newBoot) {
             resetBootState();
@@ -179,6 +185,7 @@
         if (stateChanged) {
             EventLog.event("upstream-changed")
                     .field("boot", newNotice.boot())
+                    .field("before", bootBefore)
                     .field("state", newNotice.state().text())
                     .field("leaves-in", newNotice.leavesInMillis())
                     .field("sequence", newNotice.sequence())
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -25,7 +25,6 @@
 import org.fescueloom.work.JobPhase;
 import org.fescueloom.work.JobStatus;
 import org.fescueloom.work.Placement;
-import org.fescueloom.work.RunEnd;
 import org.fescueloom.work.TaskKey;
 import org.fescueloom.work.TaskRecord;
 import org.fescueloom.work.WorkJob;
@@ -288,7 +287,7 @@
 
     private void checkAgent(AgentView agent, long now) {
         if (now - agent.leaseGrantedMillis() > state.timings().latestLeaseExpiryMillis()) {
-            runTracker.endAllRuns(agent, RunEnd.LAPSED);
+            runTracker.endRunsWithExpiredLease(agent);
         } else if (agent.upstreamReachable() && !agent.startAllowed(state.fleet().zonesOut())) {
             // Tasks may no longer start on this upstream. A run that no poll has listed has not
             // started, and the stop makes sure that the run never starts.
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EndEvidence.java
@@ -0,0 +1,29 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.util.Locale;
+
+/** Names what shows that a run is over. */
+enum EndEvidence {
+    /** The upstream of the run lists the end. */
+    LISTED,
+
+    /** The upstream was told to stop the run, and a later poll does not list it. */
+    ABSENT_AFTER_STOP,
+
+    /** A later incarnation of the upstream was polled and does not list the run. */
+    LATER_INCARNATION,
+
+    /** The agent reports another upstream than the one of the run. */
+    OTHER_UPSTREAM,
+
+    /** The agent reports that the upstream has left. */
+    DEPARTURE,
+
+    /** The lease of the run has expired on any clock. */
+    LEASE_EXPIRED;
+
+    /** Returns the name for logs and metrics: lower case, with hyphens. */
+    String text() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -72,8 +72,10 @@
         String instance = report.notice().instance();
         for (AssignedRun run : agent.runsOfOtherBoots()) {
             boolean sameInstance = UpstreamNotice.instanceOf(run.boot()).equals(instance);
-            if (!sameInstance || report.looked() && !isListed(report, run)) {
-                endRun(agent, run, RunEnd.GONE, "");
+            if (!sameInstance) {
+                endRun(agent, run, RunEnd.GONE, "", EndEvidence.OTHER_UPSTREAM);
+            } else if (report.looked() && !isListed(report, run)) {
+                endRun(agent, run, RunEnd.GONE, "", EndEvidence.LATER_INCARNATION);
             } else if (report.looked()) {
                 EventLog.event("run-moved")
                         .field("task", run.task())
@@ -102,7 +104,7 @@
     private void endListedRuns(AgentView agent) {
         for (AssignedRun run : List.copyOf(agent.runs().values())) {
             if (run.listed()) {
-                endRun(agent, run, RunEnd.GONE, "");
+                endRun(agent, run, RunEnd.GONE, "", EndEvidence.DEPARTURE);
             }
         }
     }
@@ -123,7 +125,7 @@
         for (StopOrder barred : report.barred()) {
             AssignedRun run = agent.runs().get(barred.task());
             if (run != null && run.number() == barred.run() && run.boot().equals(barred.boot())) {
-                endRun(agent, run, RunEnd.GONE, "");
+                endRun(agent, run, RunEnd.GONE, "", EndEvidence.ABSENT_AFTER_STOP);
             }
         }
     }
@@ -142,7 +144,7 @@
     private void applyEndedRun(AgentView agent, EndedRun endedRun) {
         AssignedRun run = agent.runs().get(endedRun.task());
         if (run != null && run.number() == endedRun.run()) {
-            endRun(agent, run, endedRun.end(), endedRun.checkpoint());
+            endRun(agent, run, endedRun.end(), endedRun.checkpoint(), EndEvidence.LISTED);
         } else {
             EventLog.event("end-ignored")
                     .field("task", endedRun.task())
@@ -194,14 +196,15 @@
         }
     }
 
-    /** Records the end of all runs that may exist on the upstream of an agent. */
-    void endAllRuns(AgentView agent, RunEnd end) {
+    /** Records that the leases of all runs on the upstream of an agent have expired. */
+    void endRunsWithExpiredLease(AgentView agent) {
         for (AssignedRun run : List.copyOf(agent.runs().values())) {
-            endRun(agent, run, end, "");
+            endRun(agent, run, RunEnd.LAPSED, "", EndEvidence.LEASE_EXPIRED);
         }
     }
 
-    private void endRun(AgentView agent, AssignedRun run, RunEnd end, String checkpoint) {
+    private void endRun(
+            AgentView agent, AssignedRun run, RunEnd end, String checkpoint, EndEvidence evidence) {
         agent.runs().remove(run.task().toString());
         EventLog.event("run-ended")
                 .field("task", run.task())
@@ -210,9 +213,13 @@
                 .field("boot", run.boot())
                 .field("end", end.text())
                 .field("seen", run.listed())
+                .field("evidence", evidence.text())
+                .field("report-age", state.monotonicMillis() - agent.lastReportMillis())
+                .field("reported", agent.boot())
                 .field("epoch", state.epoch())
                 .info();
         state.metrics().count("tasks.ends." + end.text());
+        state.metrics().count("tasks.ends-by." + evidence.text());
         WorkJob job = state.jobs().get(run.task().job());
         if (job == null || job.task(run.task()) == null) {
             return;
