Take only the answers of an upstream for what it is

Cause: what was said about an upstream was taken for what it is. A deregistration, also one with an empty body, ended all runs of an upstream that was at work; a status report of another identifier or a later start displaced it, with an order of incarnations by a wall clock.

Change: UpstreamTracker, free of clocks, calls and threads, changes the present incarnation only by answers to polls. A report of another one makes it a candidate, which is polled; a deregistration is a reason to poll at once and to start nothing. An upstream has ended if another one answers at its address, or if it is said to have left and refuses connections. Tokens grow with each incarnation, whatever its clock. The dispatcher ends the runs of other incarnations only once the reported one has answered. AgentRunner is split: UpstreamLink polls, RunOrders sends orders.

Why this works: a port has one process at a time, and each call names the identifier, so an answer proves who is there; what is only said decides no more than when to ask.

Tests replaced, each as strict or stricter: "takes effect" of a deregistration asserted the fault itself; the order by start time (UpstreamNoticeTest) was the fault, its late reports are now StatusReportOrderTest.

--- a/fescueloom-core/src/main/java/org/fescueloom/fleet/UpstreamNotice.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/fleet/UpstreamNotice.java
@@ -63,39 +63,38 @@
     }
 
     /**
-     * Returns whether this report is newer than another.
+     * Returns whether two reports describe the same kind of upstream, which does not change during
+     * an incarnation.
      *
-     * @param other the other report; null is older than any report
-     * @return {@code true} if this report comes from a later incarnation, or was sent later by the
-     *     same incarnation; also if the reports come from two instances that started at the same
-     *     time
+     * @param other the other report, not null
+     * @return whether service, availability zone, capacity and labels are equal
      */
-    public boolean newerThan(UpstreamNotice other) {
-        if (other == null || bornMillis != other.bornMillis) {
-            return other == null || bornMillis > other.bornMillis;
-        }
-        return !instance.equals(other.instance) || sequence > other.sequence;
+    public boolean describesSameKindAs(UpstreamNotice other) {
+        return service.equals(other.service)
+                && zone.equals(other.zone)
+                && capacity.equals(other.capacity)
+                && labels.equals(other.labels);
     }
 
     /**
-     * Returns a copy of this report with the state {@code GONE}.
+     * Returns a copy of this report with another state.
      *
+     * @param newState the state, not null
      * @return the copy, never null
      */
-    public UpstreamNotice withStateGone() {
-        return with(bornMillis, UpstreamState.GONE, leavesInMillis, sequence);
+    public UpstreamNotice withState(UpstreamState newState) {
+        return with(bornMillis, newState, leavesInMillis, sequence);
     }
 
     /**
-     * Returns a report for a later incarnation of the same upstream from which no report has
+     * Returns a report for another incarnation of the same upstream from which no report has
      * arrived yet.
      *
-     * @param newBornMillis the time at which the later incarnation started, in milliseconds since
-     *     1970
-     * @return the report, with state {@code READY} and sequence number 0, never null
+     * @param newBornMillis the time at which that incarnation started, in milliseconds since 1970
+     * @return the report, with state {@code STARTING} and sequence number 0, never null
      */
     public UpstreamNotice restartedAt(long newBornMillis) {
-        return with(newBornMillis, UpstreamState.READY, 0, 0);
+        return with(newBornMillis, UpstreamState.STARTING, 0, 0);
     }
 
     private UpstreamNotice with(
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentReport.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentReport.java
@@ -12,8 +12,8 @@
  *     null
  * @param sequence the number of the report, increasing within one incarnation of the agent
  * @param epoch the highest epoch that the agent has received
- * @param notice the last notice of the upstream; null if the agent has received none
- * @param looked whether the agent has polled the present incarnation of the upstream
+ * @param notice the last notice of the upstream that answered last; null if none has answered
+ * @param looked whether the incarnation in {@code notice} has answered a poll with its own token
  * @param lookAgeMillis the age of {@code running} and {@code ended}, which is the time since the
  *     last successful poll, in milliseconds
  * @param running the runs that exist on the upstream, not null
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -145,9 +145,6 @@
      * first reply to its process, and runs that were active before a takeover need the first lease.
      */
     boolean needsReplyAtOnce() {
-        if (notice() == null) {
-            return false;
-        }
         boolean mayNotPoll = !report.looked() && !answeredProcess.equals(report.process());
         boolean needsLease = !leaseGranted && upstreamReachable() && !report.running().isEmpty();
         return mayNotPoll || needsLease;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EndEvidence.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EndEvidence.java
@@ -10,13 +10,16 @@
     /** The upstream was told to stop the run, and a later poll does not list it. */
     ABSENT_AFTER_STOP,
 
-    /** A later incarnation of the upstream was polled and does not list the run. */
+    /** Another incarnation of the upstream has answered a poll and does not list the run. */
     LATER_INCARNATION,
 
-    /** The agent reports another upstream than the one of the run. */
+    /** Another upstream has answered a poll at the address of the run's upstream. */
     OTHER_UPSTREAM,
 
-    /** The agent reports that the upstream has left. */
+    /**
+     * The agent reports that the upstream has ended: another one answers at its address, or it is
+     * said to have left and no process listens there.
+     */
     DEPARTURE,
 
     /** The lease of the run has expired on any clock. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FencingToken.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/FencingToken.java
@@ -24,9 +24,9 @@
      * Returns the token for calls to an incarnation of an upstream.
      *
      * @param epoch the epoch of the dispatcher, not negative
-     * @param bornMillis when the incarnation started, in milliseconds since 1970; 0 if unknown
-     * @return the token; not less than that of an earlier incarnation in the same or an earlier
-     *     epoch
+     * @param bornMillis when the incarnation started, in milliseconds since 1970; later if the
+     *     clock was set back, see {@link UpstreamTracker#tokenStartMillis()}; 0 if unknown
+     * @return the token, which grows with both arguments
      */
     static long of(long epoch, long bornMillis) {
         long latest = (1L << START_TIME_BITS) - 1;
--- /dev/null
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunOrders.java
@@ -0,0 +1,155 @@
+package org.fescueloom.daemon.dispatch;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import org.fescueloom.daemon.logging.EventLog;
+import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.failure.Failures;
+
+/**
+ * Sends the orders of the dispatcher to the upstream of an agent, each once at a time. Confined to
+ * the event loop of the agent.
+ */
+final class RunOrders {
+    private final UpstreamLink link;
+    private final UpstreamControl upstream;
+    private final ScheduledExecutorService loop;
+    private final Metrics metrics;
+    private final Map<String, StopOrder> barredRuns = new HashMap<>();
+    private final Set<String> pendingOrders = new HashSet<>();
+
+    RunOrders(
+            UpstreamLink link,
+            UpstreamControl upstream,
+            ScheduledExecutorService loop,
+            Metrics metrics) {
+        this.link = link;
+        this.upstream = upstream;
+        this.loop = loop;
+        this.metrics = metrics;
+    }
+
+    /** Forgets all orders, because the incarnation to which they were sent has ended. */
+    void reset() {
+        barredRuns.clear();
+        pendingOrders.clear();
+    }
+
+    /** Returns the runs that do not exist and that the upstream refuses to start. */
+    List<StopOrder> barredRuns() {
+        return List.copyOf(barredRuns.values());
+    }
+
+    /** Removes the barred runs for which the dispatcher sends no orders any more. */
+    void removeUnorderedBarredRuns(AgentOrders orders) {
+        Set<String> orderedRuns = new HashSet<>();
+        orders.starts().forEach(s -> orderedRuns.add(RunLists.runId(s.task(), s.run())));
+        orders.stops().forEach(s -> orderedRuns.add(RunLists.runId(s.task(), s.run())));
+        barredRuns.keySet().retainAll(orderedRuns);
+    }
+
+    /** Sends a start order, unless it is obsolete or its result is awaited. */
+    void startRun(StartOrder order, long leaseUntilMillis) {
+        String runId = RunLists.runId(order.task(), order.run());
+        if (!link.isPresent(order.boot())
+                || barredRuns.containsKey(runId)
+                || !pendingOrders.add(runId)) {
+            return;
+        }
+        long countAtCall = link.incarnationCount();
+        upstream.start(link.notice().instance(), order, link.token(), leaseUntilMillis)
+                .whenCompleteAsync(
+                        (result, error) -> {
+                            if (countAtCall == link.incarnationCount()) {
+                                pendingOrders.remove(runId);
+                                onStartResult(order, result, error);
+                            }
+                        },
+                        loop);
+    }
+
+    private void onStartResult(StartOrder order, OrderResult result, Throwable error) {
+        logOrder("run-start", order.task(), order.run(), order.boot(), result, error);
+        metrics.count("agent.starts." + (result == null ? "unanswered" : result));
+        if (result == null) {
+            return;
+        }
+        switch (result) {
+            case DONE -> link.addRunning(order);
+            // The run will not start. A stop makes the upstream bar the run, so that the dispatcher
+            // can end the run.
+            case NO_ROOM, NO_TICKET, INVALID, SUPERSEDED ->
+                    stopRun(new StopOrder(order.task(), order.run(), order.boot()));
+            case FENCED, LATE, BUSY, OTHER_BOOT -> {
+                // The dispatcher repeats the order, with a newer lease, until the order is
+                // obsolete.
+            }
+            default ->
+                    throw new IllegalStateException(
+                            "result of the start order for run "
+                                    + RunLists.runId(order.task(), order.run())
+                                    + " is not handled: "
+                                    + result);
+        }
+    }
+
+    private void logOrder(
+            String event, String task, int run, String boot, OrderResult result, Throwable error) {
+        EventLog.event(event)
+                .field("task", task)
+                .field("run", run)
+                .field("boot", boot)
+                .field("epoch", link.epoch())
+                .field("answer", result == null ? Failures.causeOf(error) : result)
+                .info();
+    }
+
+    /** Sends a stop order, unless it is obsolete or its result is awaited. */
+    void stopRun(StopOrder order) {
+        String runId = RunLists.runId(order.task(), order.run());
+        if (!link.isPresent(order.boot())
+                || barredRuns.containsKey(runId)
+                || !pendingOrders.add("stop " + runId)) {
+            return;
+        }
+        long countAtCall = link.incarnationCount();
+        upstream.stop(link.notice().instance(), order, link.token())
+                .whenCompleteAsync(
+                        (result, error) -> {
+                            if (countAtCall == link.incarnationCount()) {
+                                pendingOrders.remove("stop " + runId);
+                                onStopResult(order, result, error);
+                            }
+                        },
+                        loop);
+    }
+
+    private void onStopResult(StopOrder order, OrderResult result, Throwable error) {
+        logOrder("run-stop", order.task(), order.run(), order.boot(), result, error);
+        if (result == OrderResult.DONE) {
+            barIfAbsent(order);
+        }
+    }
+
+    /**
+     * Adds a stopped run to the barred runs if a poll lists the run neither as running nor as
+     * ended. Such a run does not exist, and the upstream refuses to start it because it was
+     * stopped. The next report informs the dispatcher, which then ends the run.
+     */
+    private void barIfAbsent(StopOrder order) {
+        link.pollOnce(
+                Duration.ZERO,
+                () -> {
+                    if (!link.lists(order.task(), order.run())) {
+                        barredRuns.put(RunLists.runId(order.task(), order.run()), order);
+                        link.reportChange();
+                    }
+                },
+                () -> {});
+    }
+}
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -49,55 +49,63 @@
     boolean applyReport(AgentView agent, AgentReport report, long now) {
         UpstreamNotice notice = report.notice();
         if (notice == null) {
-            // The agent has received no notice of its upstream.
+            // No upstream has answered the agent.
             return false;
         }
         int runsBefore = agent.runs().size();
         resolveRunsOfOtherBoots(agent, report);
+        if (report.looked()) {
+            applySnapshot(agent, report, now);
+        }
         if (notice.state() == UpstreamState.GONE) {
             endListedRuns(agent);
-        } else if (report.looked()) {
-            applySnapshot(agent, report, now);
         }
         return agent.runs().size() < runsBefore;
     }
 
     /**
-     * Resolves the runs that were assigned to other incarnations than the reported one. An
-     * incarnation with the same identifier may have executed their start orders, which carry only
-     * the identifier, until it was first polled; a later poll lists such a run, or the run will
-     * never exist there (see {@link FencingToken}).
+     * Resolves the runs that were assigned to other incarnations than the reported one, once that
+     * one has answered a poll: then no other incarnation exists. One with the same identifier may
+     * have executed their start orders, which carry only the identifier, until it was first polled;
+     * a later poll lists such a run, or the run will never exist there (see {@link FencingToken}).
      */
     private void resolveRunsOfOtherBoots(AgentView agent, AgentReport report) {
+        if (!report.looked()) {
+            return;
+        }
         String instance = report.notice().instance();
         for (AssignedRun run : agent.runsOfOtherBoots()) {
             boolean sameInstance = UpstreamNotice.instanceOf(run.boot()).equals(instance);
             if (!sameInstance) {
                 endRun(agent, run, RunEnd.GONE, "", EndEvidence.OTHER_UPSTREAM);
-            } else if (report.looked() && !isListed(report, run)) {
+            } else if (isListed(report, run)) {
+                moveRun(agent, run);
+            } else {
                 endRun(agent, run, RunEnd.GONE, "", EndEvidence.LATER_INCARNATION);
-            } else if (report.looked()) {
-                EventLog.event("run-moved")
-                        .field("task", run.task())
-                        .field("run", run.number())
-                        .field("agent", agent.name())
-                        .field("from", run.boot())
-                        .field("to", agent.boot())
-                        .field("epoch", state.epoch())
-                        .info();
-                state.metrics().count("tasks.runs-moved");
-                run.moveTo(agent.boot());
             }
         }
     }
 
+    private void moveRun(AgentView agent, AssignedRun run) {
+        EventLog.event("run-moved")
+                .field("task", run.task())
+                .field("run", run.number())
+                .field("agent", agent.name())
+                .field("from", run.boot())
+                .field("to", agent.boot())
+                .field("epoch", state.epoch())
+                .info();
+        state.metrics().count("tasks.runs-moved");
+        run.moveTo(agent.boot());
+    }
+
     private static boolean isListed(AgentReport report, AssignedRun run) {
         return RunLists.contain(
                 report.running(), report.ended(), run.task().toString(), run.number());
     }
 
     /**
-     * Ends the runs that an upstream had listed before it left. The start order of another run may
+     * Ends the runs that an upstream had listed before it ended. The start order of another run may
      * still be executed by the next incarnation, so such a run ends once that incarnation is polled
      * or the lease has expired.
      */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamControl.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamControl.java
@@ -41,8 +41,10 @@
      * @param leaseUntilMillis when the lease of all runs expires, on the clock of the upstream; 0
      *     to leave the lease unchanged
      * @param wait how long the upstream may wait for a run to end, not null
-     * @return a future of the snapshot; fails with {@link BootMismatchException} if another
-     *     incarnation of the upstream responds
+     * @return a future of the snapshot; fails with {@link BootMismatchException} if an upstream
+     *     with another identifier responds, with {@link TokenRefusedException} if the upstream has
+     *     received a higher token, and with {@link UpstreamRefusedException} if no process listens
+     *     at its address
      */
     CompletableFuture<UpstreamSnapshot> poll(
             String instance, long token, long acknowledged, long leaseUntilMillis, Duration wait);
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamControlContract.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamControlContract.java
@@ -79,6 +79,7 @@
         start(1, 7);
 
         assertThat(stop(1, 6)).isEqualTo(OrderResult.FENCED);
+        assertThatThrownBy(() -> poll(6, 0)).hasRootCauseInstanceOf(TokenRefusedException.class);
         assertThat(poll(7, 0).running()).hasSize(1);
         assertThat(stop(1, 7)).isEqualTo(OrderResult.DONE);
         assertThat(poll(7, 0).ended()).extracting(EndedRun::end).containsExactly(RunEnd.STOPPED);
