Keep the leases of the dispatcher before until agents know the epoch

What callers saw: after a takeover, a task could be started elsewhere up to a few seconds before the lease of its run had expired, so it ran twice.

Cause: a new dispatcher assumes that the one before may grant leases until its claim can no longer count as confirmed. The first lease of the new dispatcher replaced that time by its own. If its reply is lost, the agent may report to the dispatcher before and get a later lease from it.

The claim that is the first record of the job log has no dispatcher before it. FakeAgent has a field for its epoch, 0 as before.

Measured: LeaseOfEarlierDispatcherTest failed before: "Expecting empty but was: [StartOrder[task=j.0.0.0, run=2, boot=i-2@1, ...]]".

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -129,9 +129,13 @@
         return true;
     }
 
-    /** Records that a lease is granted now. */
-    void markLeaseGranted(long nowMillis) {
-        leaseGrantedMillis = nowMillis;
+    /**
+     * Records that a lease is granted now. Until the agent has received orders of this epoch, it
+     * also accepts the leases of the dispatcher before.
+     */
+    void markLeaseGranted(long nowMillis, long epoch) {
+        boolean epochReceived = report.epoch() >= epoch;
+        leaseGrantedMillis = epochReceived ? nowMillis : Math.max(leaseGrantedMillis, nowMillis);
         leaseGranted = true;
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
@@ -26,6 +26,9 @@
     /** An upstream that has completed no run for a day is assumed to be gone. */
     private static final long SPEED_RETENTION_MILLIS = 86_400_000;
 
+    /** The epoch of a claim that is the first record of the job log. */
+    private static final long FIRST_EPOCH = 1;
+
     private final long epoch;
     private final DispatchTimings timings;
     private final Supplier<FleetView> fleet;
@@ -114,14 +117,16 @@
      *
      * <p>The previous dispatcher may grant leases until the last confirmation of its claim is older
      * than {@link DispatchTimings#maxProofAgeMillis}. A new view therefore assumes that the agent
-     * was granted a lease that long after the start of this dispatcher.
+     * was granted a lease that long after the start of this dispatcher, unless there was no
+     * previous one.
      */
     AgentView agent(String name) {
         return agents.computeIfAbsent(name, this::newAgent);
     }
 
     private AgentView newAgent(String name) {
-        AgentView agent = new AgentView(name, startedMillis + timings.maxProofAgeMillis());
+        long earlierGrantsMillis = epoch == FIRST_EPOCH ? 0 : timings.maxProofAgeMillis();
+        AgentView agent = new AgentView(name, startedMillis + earlierGrantsMillis);
         UpstreamSpeed speed = storedSpeeds.get(name);
         if (speed != null) {
             agent.health().restore(speed, monotonicMillis(), wallClockMillis());
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
@@ -120,7 +120,7 @@
         addStopsOfUnknownRuns(agent, stops);
         boolean leaseGranted = claimConfirmed && agent.upstreamReachable();
         if (leaseGranted) {
-            agent.markLeaseGranted(now);
+            agent.markLeaseGranted(now, state.epoch());
         }
         return new AgentOrders(
                 state.epoch(),
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FakeAgent.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FakeAgent.java
@@ -23,6 +23,10 @@
     boolean polled = true;
     String process = "p";
     UpstreamState state = UpstreamState.READY;
+
+    /** The highest epoch that the agent has received. */
+    long epoch;
+
     private final String name;
     private final ManualScheduler loop;
 
@@ -46,7 +50,16 @@
                         sequence);
         AgentReport report =
                 new AgentReport(
-                        name, process, ++sequence, 0, notice, polled, 0, running, ended, barred);
+                        name,
+                        process,
+                        ++sequence,
+                        epoch,
+                        notice,
+                        polled,
+                        0,
+                        running,
+                        ended,
+                        barred);
         return dispatcher.handleReport(report);
     }
 
