End no runs on a report from before the takeover

What callers saw: after a takeover, a task could be started elsewhere while its run was at work.

Cause: the first report of an agent to a new dispatcher may be a late one of an earlier process. The incarnation that it names was taken for the present one, and a run that was assigned to another one for ended.

Change: a report that does not carry the epoch of this dispatcher neither ends nor moves the runs of other incarnations, and ends no runs of a departed upstream. The next report of a live agent carries it. FakeAgent and the walk of UpstreamRestartTest remember the epoch of the orders that they receive, as agents do; their checks are unchanged.

Measured: AgentProcessOrderTest$LateReportBeforeAnyOther failed before: "Expecting empty but was: [StartOrder[task=j.0.0.0, run=2, boot=i-2@1, ...]]". With it, AgentProcessOrderTest, LeaseOfEarlierDispatcherTest, DispatcherTest, Takeover*Test, UpstreamRestartTest, RunEndTableTest, LateClaimTest and LargeFleetTest pass.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -53,11 +53,15 @@
             return false;
         }
         int runsBefore = agent.runs().size();
-        resolveRunsOfOtherBoots(agent, report);
+        // A report from before the takeover may be late, and its upstream not the present one.
+        boolean epochReceived = report.epoch() >= state.epoch();
+        if (epochReceived) {
+            resolveRunsOfOtherBoots(agent, report);
+        }
         if (report.looked()) {
             applySnapshot(agent, report, now);
         }
-        if (notice.state() == UpstreamState.GONE) {
+        if (notice.state() == UpstreamState.GONE && epochReceived) {
             endListedRuns(agent);
         }
         return agent.runs().size() < runsBefore;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentProcessOrderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentProcessOrderTest.java
@@ -65,6 +65,30 @@
         }
     }
 
+    /** A report of an earlier process is the first one of its agent to a new dispatcher. */
+    @Nested
+    class LateReportBeforeAnyOther {
+        // Guards against a task that runs twice: the upstream in a report from before the takeover
+        // was taken for a later incarnation, and the runs of the present one were ended.
+        @Test
+        void doesNotEndTheRunsOfThePresentUpstream() {
+            Dispatcher first = bed.claim();
+            present.exchange(first);
+            bed.submit(first, JobSamples.singleTask("j"));
+            present.exchange(first);
+            assertThat(present.running).hasSize(1);
+            first.close();
+            Dispatcher second = bed.claim();
+            other.exchange(second);
+
+            earlier.state = UpstreamState.DRAINING;
+            earlier.report(second);
+            bed.loop().advance(100);
+
+            assertThat(other.exchange(second).starts()).isEmpty();
+        }
+    }
+
     @Nested
     class LaterProcess {
         private final Dispatcher dispatcher = bed.claim();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FakeAgent.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FakeAgent.java
@@ -68,6 +68,7 @@
         CompletableFuture<AgentOrders> reply = report(dispatcher);
         loop.advance(1_200);
         AgentOrders orders = reply.join();
+        epoch = Math.max(epoch, orders.epoch());
         for (StartOrder start : orders.starts()) {
             running.add(new RunStatus(start.task(), start.run(), "", 100, 0));
         }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamRestartTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamRestartTest.java
@@ -310,6 +310,9 @@
             first.ended.stream()
                     .filter(e -> e.number() <= orders.acknowledged() && e.end() == RunEnd.DONE)
                     .forEach(e -> tasksNotedAsDone.add(e.task()));
+            if (deliver) {
+                first.epoch = orders.epoch();
+            }
             for (StartOrder start : orders.starts()) {
                 lateStarts.removeIf(s -> s.task().equals(start.task()));
                 lateStarts.add(start);
