Know a member again after the clock of its machine was set back

What callers saw: an agent or entry that started again after its clock had been set back was unknown to the others for up to ten minutes, so that its machine got no requests.

Cause: the start time of a process, by its wall clock, orders the announcements of its incarnations. Those of a lower incarnation counted as late, also if the higher one had long been silent.

Change: a lower incarnation replaces the higher one once it has announced itself without a gap for the time after which a silent member is suspected (3 s), while the higher one was silent. Late announcements that arrive together, or beside those of the higher incarnation, replace nothing.

The tests of fescueloom-core pass; those of other modules were not run with it.

--- a/fescueloom-core/src/main/java/org/fescueloom/member/MemberTable.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/member/MemberTable.java
@@ -14,8 +14,9 @@
  *
  * <p>An announcement with a higher incarnation of a member replaces one with a lower incarnation. A
  * lower incarnation is ignored, even for {@link #REMOVED_RETENTION_MILLIS} after the member was
- * removed. A member that announces the address of another member replaces that member. Times are in
- * milliseconds of the monotonic clock.
+ * removed, unless it keeps announcing itself while the higher one is silent: its clock was set back
+ * before it started. A member that announces the address of another member replaces that member.
+ * Times are in milliseconds of the monotonic clock.
  */
 public final class MemberTable {
     /** The time without an announcement after which a member is suspected, in milliseconds. */
@@ -33,11 +34,16 @@
     /** The removed members whose incarnation is still kept. */
     private final Map<String, RemovedMember> removed = new HashMap<>();
 
+    /** The lower incarnations that announce themselves while the known ones are silent. */
+    private final Map<String, LowerIncarnation> lowerIncarnations = new HashMap<>();
+
     private final long suspectAfterMillis;
     private final long removeAfterMillis;
 
     private record RemovedMember(long incarnation, long removedAtMillis) {}
 
+    private record LowerIncarnation(long incarnation, long sinceMillis, long lastMillis) {}
+
     /** Creates an empty table with the default times. */
     public MemberTable() {
         this(SUSPECT_AFTER_MILLIS, REMOVE_AFTER_MILLIS);
@@ -70,14 +76,16 @@
      * @param announcement the announcement, not null
      * @param nowMillis the current time
      * @return false if the announcement was ignored because a higher incarnation of the member is
-     *     known
+     *     known and not outlived
      */
     public synchronized boolean recordAnnouncement(Announcement announcement, long nowMillis) {
         Objects.requireNonNull(announcement, "announcement");
         String id = announcement.member();
-        if (announcement.incarnation() < highestIncarnation(id)) {
+        if (announcement.incarnation() < highestIncarnation(id)
+                && !outlivesHigherIncarnation(announcement, nowMillis)) {
             return false;
         }
+        lowerIncarnations.remove(id);
         removeOthersAt(announcement, nowMillis);
         removed.remove(id);
         announcements.put(id, announcement);
@@ -100,6 +108,9 @@
                         .toList();
         silent.forEach(id -> remove(id, nowMillis));
         removed.values().removeIf(r -> nowMillis - r.removedAtMillis() >= REMOVED_RETENTION_MILLIS);
+        lowerIncarnations
+                .values()
+                .removeIf(lower -> nowMillis - lower.lastMillis() >= suspectAfterMillis);
         return silent;
     }
 
@@ -186,6 +197,26 @@
         return removedMember == null ? Long.MIN_VALUE : removedMember.incarnation();
     }
 
+    /**
+     * Tests whether a lower incarnation has announced itself, without a gap, for the time after
+     * which a silent member is suspected, and the higher one has been silent all the while.
+     */
+    private boolean outlivesHigherIncarnation(Announcement announcement, long nowMillis) {
+        String id = announcement.member();
+        Long heardMillis = lastHeardMillis.get(id);
+        boolean silent = heardMillis == null || nowMillis - heardMillis >= suspectAfterMillis;
+        LowerIncarnation last = lowerIncarnations.get(id);
+        boolean continues =
+                silent
+                        && last != null
+                        && last.incarnation() == announcement.incarnation()
+                        && nowMillis - last.lastMillis() < suspectAfterMillis;
+        long sinceMillis = continues ? last.sinceMillis() : nowMillis;
+        lowerIncarnations.put(
+                id, new LowerIncarnation(announcement.incarnation(), sinceMillis, nowMillis));
+        return nowMillis - sinceMillis >= suspectAfterMillis;
+    }
+
     private void removeOthersAt(Announcement announcement, long nowMillis) {
         List<String> others =
                 announcements.values().stream()
