Answer an agent at once whose reports end no runs yet

Cause: since a report ends runs only with the epoch of the dispatcher, the runs of an upstream that had ended before a takeover waited up to a second for the reply that tells the agent the epoch.

Change: such a report, and the first one of a process that may not poll, is answered at once. Idle agents wait for orders as before.

Measured: TakeoverLeaseTest; its new test checks that the reply is complete.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -164,13 +164,23 @@
     }
 
     /**
-     * Tests whether the next step waits for a reply: the agent polls its upstream only after the
-     * first reply to its process, and runs that were active before a takeover need the first lease.
+     * Tests whether the next step waits for a reply: until an agent process has received the epoch,
+     * it may not poll its upstream, and its reports end no runs; and runs that were active before a
+     * takeover need the first lease.
      */
-    boolean needsReplyAtOnce() {
-        boolean mayNotPoll = !report.looked() && !answeredProcess.equals(report.process());
+    boolean needsReplyAtOnce(long epoch) {
+        boolean needsEpoch =
+                report.epoch() < epoch
+                        && !answeredProcess.equals(report.process())
+                        && (!report.looked() || hasRunsThatEnded());
         boolean needsLease = !leaseGranted && upstreamReachable() && !report.running().isEmpty();
-        return mayNotPoll || needsLease;
+        return needsEpoch || needsLease;
+    }
+
+    /** Tests whether the last report says that runs have ended together with their upstream. */
+    private boolean hasRunsThatEnded() {
+        boolean gone = notice() != null && notice().state() == UpstreamState.GONE;
+        return gone && !runs.isEmpty() || !runsOfOtherBoots().isEmpty();
     }
 
     /** Records the number of the end of a run, and returns whether this end is new. */
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
@@ -74,7 +74,7 @@
 
     private boolean replyDueAtOnce(AgentView agent) {
         // Without a confirmed claim, a reply grants no lease, and the agent would report again.
-        return agent.needsReplyAtOnce()
+        return agent.needsReplyAtOnce(state.epoch())
                 && state.contact().freshWithin(state.timings().maxProofAgeMillis());
     }
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/TakeoverLeaseTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/TakeoverLeaseTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.CompletableFuture;
+import org.fescueloom.fleet.UpstreamState;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -51,6 +52,25 @@
         }
     }
 
+    @Nested
+    class AnUpstreamThatEndedBeforeTheTakeover {
+        // Guards against a task that waits for a second after a takeover, because reports without
+        // the epoch end no runs.
+        @Test
+        void isAnsweredAtOnceSoThatItsRunsAreStartedElsewhere() {
+            Dispatcher first = bed.claim();
+            agent.exchange(first);
+            bed.submit(first, JobSamples.singleTask("j"));
+            agent.exchange(first);
+            agent.exchange(first);
+            first.close();
+            agent.state = UpstreamState.GONE;
+            Dispatcher second = bed.claim();
+
+            assertThat(reportTo(second)).isCompleted();
+        }
+    }
+
     @Nested
     class AnAgentThatHasNotPolled {
         // Guards against the same lapses: an agent that has restarted polls its upstream only after
