Keep ended jobs for their retention time also after a clock step

What callers saw: after the wall clock of the dispatcher was set forward, or after an entry whose clock is ahead took over, an ended job was unknown (410) before its retention time had passed.

Cause: the age of an ended job was a difference of wall clock readings, of one process or of two.

Change: a job is removed only if the dispatcher has also found it ended for the retention time on its monotonic clock. After a takeover, ended jobs are kept for up to one retention time longer.

Measured: JobRetentionClockTest failed before, for a step and for a takeover: "expected: SUCCEEDED but was: UNKNOWN". With it, the tests of org.fescueloom.daemon.dispatch pass in one run. Memory was not measured.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -72,6 +73,9 @@
     /** The reservations of the last round, by the identifier of the waiting unit. */
     private Map<String, List<String>> reservations = Map.of();
 
+    /** When this dispatcher first found a job ended, on the monotonic clock, by job ID. */
+    private final Map<String, Long> endSeenMillis = new HashMap<>();
+
     private boolean roundRequested;
     private boolean closed;
 
@@ -305,13 +309,19 @@
     }
 
     private void removeOldJobs() {
-        long endedBeforeMillis =
-                state.wallClockMillis() - state.timings().endedJobRetentionMillis();
+        long retentionMillis = state.timings().endedJobRetentionMillis();
+        long endedBeforeMillis = state.wallClockMillis() - retentionMillis;
+        long now = state.monotonicMillis();
         List<String> oldJobs = new ArrayList<>();
         // A job is kept while its submission may be in the intake log, because the submission of an
         // unknown job is admitted.
         for (WorkJob job : state.jobs().values()) {
-            if (job.phase().ended()
+            if (!job.phase().ended()) {
+                continue;
+            }
+            // The clock may have been set forward, or be ahead of that of the dispatcher before.
+            long seenMillis = endSeenMillis.computeIfAbsent(job.submission().id(), id -> now);
+            if (now - seenMillis >= retentionMillis
                     && job.endedAtMillis() < endedBeforeMillis
                     && job.assignedTasks().isEmpty()
                     && intake.mayForget(job.submission().id())) {
@@ -320,6 +330,7 @@
         }
         for (String id : oldJobs) {
             WorkJob job = state.jobs().remove(id);
+            endSeenMillis.remove(id);
             runTracker.forgetJob(job);
             state.storedStatuses().remove(id);
             job.takeObsoleteBlocks().forEach(block -> state.deleteBlock(id, block));
