Acknowledge only ends that the upstream has listed

What callers saw: a task that was done could run again. An upstream started again under its identifier, executed a start order that came late, and the run was done before the agent polled.

Cause: each poll carried the highest acknowledged number. Each incarnation numbers its ends anew, so the first poll of the next one made it forget ends that nobody had seen, and the dispatcher ended the run as not listed.

Change: a poll carries a number only while the last answer listed an end up to that number.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
@@ -307,7 +307,7 @@
         upstream.poll(
                         tracker.notice().instance(),
                         token(),
-                        acknowledgedEndNumber,
+                        listedAcknowledgedEndNumber(),
                         lease.send(),
                         wait)
                 .whenCompleteAsync(
@@ -327,6 +327,19 @@
                         loop);
     }
 
+    /**
+     * Returns the number up to which the upstream may forget the ends that it has listed; 0 if
+     * none. Each incarnation numbers its ends anew, so a number that is no longer needed could make
+     * the next one forget ends that nobody has seen.
+     */
+    private long listedAcknowledgedEndNumber() {
+        return ended.stream()
+                .mapToLong(EndedRun::number)
+                .filter(number -> number <= acknowledgedEndNumber)
+                .max()
+                .orElse(0);
+    }
+
     private void applyAnswer(UpstreamSnapshot snapshot) {
         String bootBefore = presentBoot();
         if (tracker.onAnswer(snapshot.bornMillis())) {
