Conclude nothing lasting from wrong messages about an upstream

Cause: a deregistration counted for good; a candidate whose report named another start left tokens below the one that the upstream had received; an incarnation that had only answered was ready, and of the kind of the one before.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamTracker.java
@@ -267,7 +267,12 @@
      */
     boolean onCandidateAnswer(UpstreamNotice candidate, long bornMillis) {
         boolean answeredItself = bornMillis == 0 || bornMillis == candidate.bornMillis();
+        long polledTokenStartMillis = tokenStartMillis(candidate);
         replacePresent(answeredItself ? candidate : candidate.restartedAt(bornMillis));
+        if (!answeredItself) {
+            tokenStartMillis =
+                    Math.max(tokenStartMillis, polledTokenStartMillis + TOKEN_STEP_MILLIS);
+        }
         return answeredItself;
     }
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamTrackerWrongMessagesTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamTrackerWrongMessagesTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Tests what an upstream tracker concludes from messages that turn out to be wrong. */
-class UpstreamTrackerAuditTest {
+class UpstreamTrackerWrongMessagesTest {
     private static final long BORN = 1_780_000_000_000L;
     private static final long TEN_DAYS_MILLIS = 864_000_000L;
     private static final long REPORT_INTERVAL_MILLIS = 1_500;
@@ -35,14 +35,14 @@
     @Nested
     class DeregistrationOfAnotherWriter {
         // Guards against runs that are ended while they are at work: a deregistration held for
-        // good,
-        // so that one refused connection ended an upstream that had reported and answered since.
+        // good, so that one refused connection ended an upstream that had reported and answered
+        // since.
         @Test
         void doesNotCountOnceTheUpstreamHasReportedForAMinute() {
             UpstreamNotice first = report(BORN, 1);
             tracker.onReport(first, now);
             tracker.onCandidateAnswer(first, BORN);
-            tracker.onDeregistration("i", 0);
+            tracker.onDeregistration("i", 0, now);
             for (int sequence = 2; sequence <= 41; sequence++) {
                 now += REPORT_INTERVAL_MILLIS;
                 tracker.onReport(report(BORN, sequence), now);
@@ -50,15 +50,14 @@
             }
             assertThat(tracker.notice().state()).isEqualTo(UpstreamState.READY);
 
-            assertThat(tracker.onConnectionRefused()).isFalse();
+            assertThat(tracker.onConnectionRefused(now)).isFalse();
         }
     }
 
     @Nested
     class CandidateThatNamesAnotherStart {
         // Guards against a machine without work for the rest of an epoch: a candidate was polled
-        // with
-        // a token that the later calls to the upstream that answered never reached.
+        // with a token that the later calls to the upstream that answered never reached.
         @Test
         void leavesTokensThatTheUpstreamAccepts() {
             UpstreamNotice candidate = report(BORN + TEN_DAYS_MILLIS, 1);
