Keep the newest notice of an upstream when its agent starts again

What callers saw: a task could be started on an upstream that had said that it leaves.

Cause: an agent has no durable state. If the first status report that reaches it after a restart is a late one, from before the upstream said that it drains, the upstream counted as ready until the next report. The dispatcher knew the newer one.

Change: of the notices of one incarnation, the dispatcher uses the one with the highest sequence number, for up to 10 s after it was reported. The end of an upstream (GONE) takes effect at once, as before.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentReport.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentReport.java
@@ -40,4 +40,19 @@
         ended = List.copyOf(ended);
         barred = List.copyOf(barred);
     }
+
+    /** Returns a copy of this report with another notice. */
+    AgentReport withNotice(UpstreamNotice newNotice) {
+        return new AgentReport(
+                agent,
+                process,
+                sequence,
+                epoch,
+                newNotice,
+                looked,
+                lookAgeMillis,
+                running,
+                ended,
+                barred);
+    }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -21,6 +21,12 @@
      */
     private static final long MAX_POLL_AGE_MILLIS = 2_500;
 
+    /**
+     * Covers a restart of the agent, and several times the interval of status reports, of which the
+     * next one is newer again.
+     */
+    private static final long MAX_NOTICE_AGE_MILLIS = 10_000;
+
     private final String name;
     private final Map<String, AssignedRun> runs = new LinkedHashMap<>();
     private final UpstreamHealth health = new UpstreamHealth();
@@ -31,6 +37,11 @@
 
     private AgentReport report;
 
+    /** The notice of the upstream with the highest sequence number; null before the first. */
+    private UpstreamNotice newestNotice;
+
+    private long newestNoticeMillis;
+
     /** Before the first report: half of the minimum, so that time differences do not overflow. */
     private long lastReportMillis = Long.MIN_VALUE / 2;
 
@@ -137,8 +148,8 @@
             earlierProcesses.add(report.process());
         }
         lastReportMillis = nowMillis;
-        report = newReport;
-        UpstreamNotice notice = newReport.notice();
+        report = withNewestNotice(newReport, nowMillis);
+        UpstreamNotice notice = report.notice();
         if (notice != null && !notice.boot().equals(boot)) {
             boot = notice.boot();
             // Each incarnation of the upstream numbers the ends of its runs anew.
@@ -148,6 +159,31 @@
         return true;
     }
 
+    /**
+     * Returns a report with the newest notice of the same incarnation instead of an older one,
+     * which a new process of the agent may have received late. The newest one holds for a limited
+     * time, as its sequence number may be false.
+     */
+    private AgentReport withNewestNotice(AgentReport newReport, long nowMillis) {
+        UpstreamNotice notice = newReport.notice();
+        if (notice == null) {
+            return newReport;
+        }
+        boolean older =
+                newestNotice != null
+                        && notice.boot().equals(newestNotice.boot())
+                        && notice.sequence() < newestNotice.sequence()
+                        && notice.state() != UpstreamState.GONE
+                        && newestNotice.state() != UpstreamState.GONE
+                        && nowMillis - newestNoticeMillis < MAX_NOTICE_AGE_MILLIS;
+        if (older) {
+            return newReport.withNotice(newestNotice);
+        }
+        newestNotice = notice;
+        newestNoticeMillis = nowMillis;
+        return newReport;
+    }
+
     /**
      * Records that a lease is granted now. Until the agent has received orders of this epoch, it
      * also accepts the leases of the dispatcher before.
