--- a/fescueloom-core/src/main/java/org/fescueloom/fleet/StatusReportOrder.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/fleet/StatusReportOrder.java
@@ -55,12 +55,11 @@
     }
 
     private void countContradiction(UpstreamNotice report) {
-        if (contradiction == null || !report.describesSameKindAs(contradiction)) {
-            contradiction = report;
-            contradictions = 1;
-        } else if (report.sequence() > contradiction.sequence()) {
-            contradiction = report;
-            contradictions++;
-        }
+        boolean goesOn =
+                contradiction != null
+                        && report.describesSameKindAs(contradiction)
+                        && report.sequence() > contradiction.sequence();
+        contradictions = goesOn ? contradictions + 1 : 1;
+        contradiction = report;
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -40,6 +40,7 @@
     /** The notice of the upstream with the highest sequence number; null before the first. */
     private UpstreamNotice newestNotice;
 
+    private String newestNoticeProcess = "";
     private long newestNoticeMillis;
 
     /** Before the first report: half of the minimum, so that time differences do not overflow. */
@@ -120,11 +121,11 @@
     }
 
     /**
-     * Tests whether a report of another process than the present one may be a late report of an
-     * earlier process. A process that has received orders of this epoch, and has reported last,
-     * lives.
+     * Returns whether a report of another process than the present one may be a late report of an
+     * earlier process, and records its process. A process that has received orders of this epoch,
+     * and has reported last, lives.
      */
-    boolean fromUnconfirmedProcess(AgentReport newReport, long epoch) {
+    boolean recordUnconfirmedProcess(AgentReport newReport, long epoch) {
         if (report == null || report.process().equals(newReport.process())) {
             return false;
         }
@@ -160,9 +161,9 @@
     }
 
     /**
-     * Returns a report with the newest notice of the same incarnation instead of an older one,
-     * which a new process of the agent may have received late. The newest one holds for a limited
-     * time, as its sequence number may be false.
+     * Returns a report with the newest notice that another process of the agent has reported of the
+     * same incarnation, instead of an older one, which the present process may have received late.
+     * The newest one holds for a limited time, as its sequence number may be false.
      */
     private AgentReport withNewestNotice(AgentReport newReport, long nowMillis) {
         UpstreamNotice notice = newReport.notice();
@@ -171,6 +172,7 @@
         }
         boolean older =
                 newestNotice != null
+                        && !newReport.process().equals(newestNoticeProcess)
                         && notice.boot().equals(newestNotice.boot())
                         && notice.sequence() < newestNotice.sequence()
                         && notice.state() != UpstreamState.GONE
@@ -180,17 +182,17 @@
             return newReport.withNotice(newestNotice);
         }
         newestNotice = notice;
+        newestNoticeProcess = newReport.process();
         newestNoticeMillis = nowMillis;
         return newReport;
     }
 
     /**
-     * Records that a lease is granted now. Until the agent has received orders of this epoch, it
-     * also accepts the leases of the dispatcher before.
+     * Records that a lease is granted now. A new process of the agent may still accept a lease of
+     * the dispatcher before, so a later time holds.
      */
-    void markLeaseGranted(long nowMillis, long epoch) {
-        boolean epochReceived = report.epoch() >= epoch;
-        leaseGrantedMillis = epochReceived ? nowMillis : Math.max(leaseGrantedMillis, nowMillis);
+    void markLeaseGranted(long nowMillis) {
+        leaseGrantedMillis = Math.max(leaseGrantedMillis, nowMillis);
         leaseGranted = true;
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -217,7 +217,7 @@
             state.metrics().count("reports.of-earlier-processes");
             return CompletableFuture.completedFuture(orderIssuer.noOrders());
         }
-        if (agent.fromUnconfirmedProcess(report, state.epoch())) {
+        if (agent.recordUnconfirmedProcess(report, state.epoch())) {
             // The process learns the epoch from the response, and reports again at once.
             state.metrics().count("reports.of-unconfirmed-processes");
             return CompletableFuture.completedFuture(orderIssuer.noOrders());
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
@@ -120,7 +120,7 @@
         addStopsOfUnknownRuns(agent, stops);
         boolean leaseGranted = claimConfirmed && agent.upstreamReachable();
         if (leaseGranted) {
-            agent.markLeaseGranted(now, state.epoch());
+            agent.markLeaseGranted(now);
         }
         return new AgentOrders(
                 state.epoch(),
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
@@ -46,10 +46,12 @@
     /** The boot IDs of the candidates whose poll is in progress. */
     private final Set<String> polledCandidates = new HashSet<>();
 
+    private final RecentStarts recentStarts = new RecentStarts();
     private List<RunStatus> running = List.of();
     private List<EndedRun> ended = List.of();
     private long acknowledgedEndNumber;
     private long epoch;
+    private long pollCount;
 
     /** Grows whenever the present incarnation changes; answers to earlier calls are obsolete. */
     private long incarnationCount;
@@ -78,7 +80,7 @@
         runOrders = new RunOrders(this, upstream, loop, metrics);
     }
 
-    /** Stops to poll. The runs on the upstream continue until their lease expires. */
+    /** Stops polling. The runs on the upstream continue until their lease expires. */
     void close() {
         closed = true;
     }
@@ -232,7 +234,7 @@
         }
     }
 
-    /** Returns the fencing token for calls to the present incarnation of the upstream. */
+    /** Returns the fencing token for orders to the present incarnation of the upstream. */
     long token() {
         return FencingToken.of(epoch, tracker.tokenStartMillis());
     }
@@ -249,9 +251,11 @@
                 return;
             }
         }
-        List<RunStatus> updated = new ArrayList<>(running);
         // Full speed and no load are assumed until the next poll.
-        updated.add(new RunStatus(order.task(), order.run(), order.checkpoint(), 100, 0));
+        RunStatus started = new RunStatus(order.task(), order.run(), order.checkpoint(), 100, 0);
+        recentStarts.add(started, pollCount);
+        List<RunStatus> updated = new ArrayList<>(running);
+        updated.add(started);
         running = updated;
         onChange.run();
     }
@@ -304,11 +308,13 @@
     /** Runs one of the callbacks, unless the present incarnation has changed since the call. */
     void pollOnce(Duration wait, Runnable onSuccess, Runnable onFailure) {
         long countAtCall = incarnationCount;
+        long poll = ++pollCount;
+        // After a failure another incarnation may answer, with ends and a clock of its own.
         upstream.poll(
                         tracker.notice().instance(),
-                        token(),
-                        listedAcknowledgedEndNumber(),
-                        lease.send(),
+                        FencingToken.of(epoch, tracker.pollTokenStartMillis()),
+                        silent ? 0 : listedAcknowledgedEndNumber(),
+                        silent ? 0 : lease.send(),
                         wait)
                 .whenCompleteAsync(
                         (snapshot, error) -> {
@@ -316,7 +322,7 @@
                                 return;
                             }
                             if (error == null) {
-                                applyAnswer(snapshot);
+                                applyAnswer(snapshot, poll);
                             } else {
                                 applyFailure(Failures.causeOf(error));
                             }
@@ -340,14 +346,14 @@
                 .orElse(0);
     }
 
-    private void applyAnswer(UpstreamSnapshot snapshot) {
+    private void applyAnswer(UpstreamSnapshot snapshot, long poll) {
         String bootBefore = presentBoot();
         if (tracker.onAnswer(snapshot.bornMillis())) {
             if (silent) {
                 silent = false;
                 EventLog.event("upstream-answers").field("boot", bootBefore).info();
             }
-            applySnapshot(snapshot);
+            applySnapshot(snapshot, poll);
         } else {
             // Calls that were meant for the incarnation before are refused once this one was polled
             // with its own token.
@@ -439,7 +445,7 @@
         boolean answeredItself = tracker.onCandidateAnswer(candidate, snapshot.bornMillis());
         onIncarnationChanged(bootBefore);
         if (answeredItself) {
-            applySnapshot(snapshot);
+            applySnapshot(snapshot, pollCount);
         } else {
             onChange.run();
         }
@@ -461,6 +467,7 @@
     }
 
     private void onIncarnationChanged(String bootBefore) {
+        recentStarts.clear();
         running = List.of();
         ended = List.of();
         runOrders.reset();
@@ -474,15 +481,16 @@
         logChange(bootBefore);
     }
 
-    private void applySnapshot(UpstreamSnapshot snapshot) {
+    private void applySnapshot(UpstreamSnapshot snapshot, long poll) {
+        List<RunStatus> existing = recentStarts.addTo(snapshot, poll);
         boolean endsChanged =
                 !polledSinceBoot
                         || !RunLists.endNumbers(snapshot.ended())
                                 .equals(RunLists.endNumbers(ended));
-        boolean runsChanged = !RunLists.runIds(snapshot.running()).equals(RunLists.runIds(running));
+        boolean runsChanged = !RunLists.runIds(existing).equals(RunLists.runIds(running));
         polledSinceBoot = true;
         lease.readClock(snapshot.clockMillis(), Clocks.monotonicMillis());
-        running = snapshot.running();
+        running = existing;
         ended = snapshot.ended();
         if (endsChanged || runsChanged) {
             onChange.run();
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamTracker.java
@@ -214,8 +214,17 @@
         candidates.remove(boot);
     }
 
-    /** Returns the start time for the fencing tokens of calls to the present incarnation. */
+    /**
+     * Returns the start time for the fencing tokens of orders to the present incarnation. Tokens of
+     * orders are raised only once a poll with the raised token was answered: the incarnation that
+     * refuses may be a later one.
+     */
     long tokenStartMillis() {
+        return tokenStartMillis;
+    }
+
+    /** Returns the start time for the fencing tokens of polls of the present incarnation. */
+    long pollTokenStartMillis() {
         return tokenStartMillis + tokenRaiseMillis;
     }
 
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentIncarnationTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentIncarnationTest.java
@@ -263,6 +263,7 @@
             long sequence = lastReport.sequence();
             Polling.await(() -> lastReport.sequence() > sequence + 5, WAIT_SECONDS);
             assertThat(lastReport.notice().boot()).isEqualTo("i-1@" + FIRST_BORN_MILLIS);
+            assertThat(lastReport.notice().state()).isEqualTo(UpstreamState.READY);
             assertThat(lastReport.running()).hasSize(1);
             assertThat(lastReport.lookAgeMillis()).isLessThan(5_000);
         }
