--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
@@ -77,7 +77,13 @@
             ScheduledExecutorService loop,
             Metrics metrics) {
         this.name = name;
-        this.upstream = new UpstreamLink(upstream, loop, metrics, this::reportIfDispatcherKnown);
+        this.upstream =
+                new UpstreamLink(
+                        upstream,
+                        loop,
+                        Clocks::monotonicMillis,
+                        metrics,
+                        this::reportIfDispatcherKnown);
         this.loop = loop;
         this.metrics = metrics;
         addEntryAddresses(seeds);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
@@ -4,12 +4,10 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.fescueloom.daemon.cluster.Clocks;
-import org.fescueloom.daemon.logging.EventLog;
+import java.util.function.LongSupplier;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.Failures;
 import org.fescueloom.fleet.UpstreamNotice;
@@ -37,6 +35,7 @@
 
     private final UpstreamControl upstream;
     private final ScheduledExecutorService loop;
+    private final LongSupplier clock;
     private final Metrics metrics;
     private final Runnable onChange;
     private final UpstreamTracker tracker = new UpstreamTracker();
@@ -56,6 +55,7 @@
     /** Grows whenever the present incarnation changes; answers to earlier calls are obsolete. */
     private long incarnationCount;
 
+    private final AnswerDoubt doubt = new AnswerDoubt();
     private boolean polledSinceBoot;
     private boolean polling;
     private boolean immediatePollPending;
@@ -66,15 +66,18 @@
     /**
      * Creates a link that polls nothing before the first epoch.
      *
+     * @param clock a monotonic clock, in milliseconds
      * @param onChange called when the dispatcher should hear of a change
      */
     UpstreamLink(
             UpstreamControl upstream,
             ScheduledExecutorService loop,
+            LongSupplier clock,
             Metrics metrics,
             Runnable onChange) {
         this.upstream = upstream;
         this.loop = loop;
+        this.clock = clock;
         this.metrics = metrics;
         this.onChange = onChange;
         runOrders = new RunOrders(this, upstream, loop, metrics);
@@ -135,20 +138,17 @@
 
     /** Handles a status report. */
     void onReport(UpstreamNotice report) {
-        switch (tracker.onReport(report, Clocks.monotonicMillis())) {
+        switch (tracker.onReport(report, clock.getAsLong())) {
             case IGNORED -> metrics.count("agent.reports-ignored");
             case UNCHANGED -> {}
             case STATE_CHANGED -> {
-                logChange("");
+                UpstreamEvents.changed(tracker.notice(), presentBoot());
                 onChange.run();
                 pollContinuously();
             }
             default -> {
-                EventLog.event("candidate-reported")
-                        .field("boot", report.boot())
-                        .field("present", presentBoot())
-                        .field("sequence", report.sequence())
-                        .info();
+                UpstreamEvents.candidateReported(report, presentBoot());
+                doubt.raise();
                 pollNow();
                 pollCandidates();
             }
@@ -158,15 +158,9 @@
     /** Handles a deregistration; the start time is 0 if the deregistration does not name it. */
     void onDeregistration(String instance, long bornMillis) {
         UpstreamTracker.DeregistrationEffect effect =
-                tracker.onDeregistration(instance, bornMillis, Clocks.monotonicMillis());
-        EventLog.event("upstream-deregistered")
-                .field("instance", instance)
-                .field("born", bornMillis)
-                .field("present", presentBoot())
-                .field("effect", effect.name().toLowerCase(Locale.ROOT).replace('_', '-'))
-                .field("polled-ago", pollAgeMillis())
-                .field("running", running.size())
-                .info();
+                tracker.onDeregistration(instance, bornMillis, clock.getAsLong());
+        UpstreamEvents.deregistered(
+                instance, bornMillis, presentBoot(), effect, pollAgeMillis(), running.size());
         if (effect == UpstreamTracker.DeregistrationEffect.PRESENT_LEAVES) {
             onChange.run();
             pollNow();
@@ -175,24 +169,13 @@
 
     /** Returns the time since the last answer of the present incarnation; -1 if there is none. */
     private long pollAgeMillis() {
-        return polledSinceBoot ? lease.clockAgeMillis(Clocks.monotonicMillis()) : -1;
+        return polledSinceBoot ? lease.clockAgeMillis(clock.getAsLong()) : -1;
     }
 
     private String presentBoot() {
         return tracker.notice() == null ? "" : tracker.notice().boot();
     }
 
-    private void logChange(String bootBefore) {
-        UpstreamNotice notice = tracker.notice();
-        EventLog.event("upstream-changed")
-                .field("boot", notice.boot())
-                .field("before", bootBefore)
-                .field("state", notice.state().text())
-                .field("leaves-in", notice.leavesInMillis())
-                .field("sequence", notice.sequence())
-                .info();
-    }
-
     /**
      * Applies the orders in a response to a report.
      *
@@ -225,11 +208,13 @@
             lease.extend(upstreamClockAtSend + orders.leaseMillis());
         }
         runOrders.removeUnorderedBarredRuns(orders);
-        if (polledSinceBoot && lease.mustBeSent(Clocks.monotonicMillis())) {
+        if (polledSinceBoot && lease.mustBeSent(clock.getAsLong())) {
             pollOnce(Duration.ZERO, () -> {}, () -> {});
         }
         orders.stops().forEach(runOrders::stopRun);
-        if (tracker.notice().state() == UpstreamState.READY && lease.untilMillis() > 0) {
+        if (tracker.notice().state() == UpstreamState.READY
+                && lease.untilMillis() > 0
+                && !doubt.open()) {
             orders.starts().forEach(order -> runOrders.startRun(order, lease.untilMillis()));
         }
     }
@@ -281,7 +266,7 @@
                 () -> {
                     polling = false;
                     loop.schedule(this::pollContinuously, POLL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-                    if (tracker.saidToHaveLeft(Clocks.monotonicMillis())) {
+                    if (tracker.saidToHaveLeft(clock.getAsLong())) {
                         pollNow();
                     }
                 });
@@ -298,7 +283,7 @@
                 () -> immediatePollPending = false,
                 () -> {
                     immediatePollPending = false;
-                    if (tracker.saidToHaveLeft(Clocks.monotonicMillis())) {
+                    if (tracker.saidToHaveLeft(clock.getAsLong())) {
                         loop.schedule(
                                 this::pollNow, DEPARTURE_POLL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
                     }
@@ -309,12 +294,12 @@
     void pollOnce(Duration wait, Runnable onSuccess, Runnable onFailure) {
         long countAtCall = incarnationCount;
         long poll = ++pollCount;
-        // After a failure another incarnation may answer, with ends and a clock of its own.
+        long doubtAtCall = doubt.number();
         upstream.poll(
                         tracker.notice().instance(),
                         FencingToken.of(epoch, tracker.pollTokenStartMillis()),
-                        silent ? 0 : listedAcknowledgedEndNumber(),
-                        silent ? 0 : lease.send(),
+                        doubt.open() ? 0 : listedAcknowledgedEndNumber(),
+                        doubt.open() ? 0 : lease.send(),
                         wait)
                 .whenCompleteAsync(
                         (snapshot, error) -> {
@@ -322,6 +307,7 @@
                                 return;
                             }
                             if (error == null) {
+                                doubt.settle(doubtAtCall);
                                 applyAnswer(snapshot, poll);
                             } else {
                                 applyFailure(Failures.causeOf(error));
@@ -351,7 +337,7 @@
         if (tracker.onAnswer(snapshot.bornMillis())) {
             if (silent) {
                 silent = false;
-                EventLog.event("upstream-answers").field("boot", bootBefore).info();
+                UpstreamEvents.answers(bootBefore);
             }
             applySnapshot(snapshot, poll);
         } else {
@@ -364,16 +350,17 @@
     }
 
     private void applyFailure(Throwable error) {
+        doubt.raise();
         metrics.count("agent.looks-failed");
         if (!silent) {
             silent = true;
-            EventLog.event("upstream-silent").field("boot", presentBoot()).error(error).info();
+            UpstreamEvents.silent(presentBoot(), error);
         }
         if (error instanceof BootMismatchException) {
             tracker.onOtherUpstream();
             onUpstreamEnded("other-upstream");
         } else if (error instanceof UpstreamRefusedException) {
-            if (tracker.onConnectionRefused(Clocks.monotonicMillis())) {
+            if (tracker.onConnectionRefused(clock.getAsLong())) {
                 onUpstreamEnded("connection-refused");
             }
         } else if (error instanceof TokenRefusedException) {
@@ -382,12 +369,7 @@
     }
 
     private void onUpstreamEnded(String evidence) {
-        EventLog.event("upstream-departed")
-                .field("boot", presentBoot())
-                .field("evidence", evidence)
-                .field("polled-ago", pollAgeMillis())
-                .field("running", running.size())
-                .info();
+        UpstreamEvents.departed(presentBoot(), evidence, pollAgeMillis(), running.size());
         incarnationCount++;
         polling = false;
         immediatePollPending = false;
@@ -401,7 +383,7 @@
         if (closed || epoch == 0) {
             return;
         }
-        List<UpstreamNotice> candidates = tracker.candidatesToPoll(Clocks.monotonicMillis());
+        List<UpstreamNotice> candidates = tracker.candidatesToPoll(clock.getAsLong());
         candidates.forEach(this::pollCandidate);
         if (!tracker.hasPresent() && !candidates.isEmpty() && !candidateRetryScheduled) {
             candidateRetryScheduled = true;
@@ -459,15 +441,13 @@
         } else if (error instanceof BootMismatchException && tracker.hasPresent()) {
             tracker.dropCandidate(candidate.boot());
             metrics.count("agent.candidates-refuted");
-            EventLog.event("candidate-refuted")
-                    .field("boot", candidate.boot())
-                    .field("present", presentBoot())
-                    .info();
+            UpstreamEvents.candidateRefuted(candidate.boot(), presentBoot());
         }
     }
 
     private void onIncarnationChanged(String bootBefore) {
         recentStarts.clear();
+        doubt.clear();
         running = List.of();
         ended = List.of();
         runOrders.reset();
@@ -478,7 +458,7 @@
         immediatePollPending = false;
         silent = false;
         incarnationCount++;
-        logChange(bootBefore);
+        UpstreamEvents.changed(tracker.notice(), bootBefore);
     }
 
     private void applySnapshot(UpstreamSnapshot snapshot, long poll) {
@@ -489,7 +469,7 @@
                                 .equals(RunLists.endNumbers(ended));
         boolean runsChanged = !RunLists.runIds(existing).equals(RunLists.runIds(running));
         polledSinceBoot = true;
-        lease.readClock(snapshot.clockMillis(), Clocks.monotonicMillis());
+        lease.readClock(snapshot.clockMillis(), clock.getAsLong());
         running = existing;
         ended = snapshot.ended();
         if (endsChanged || runsChanged) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/RestartedUpstreamPollTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/RestartedUpstreamPollTest.java
@@ -27,7 +27,8 @@
     /** An agent process, with its own event loop. */
     private final class Process {
         private final ManualScheduler loop = new ManualScheduler();
-        private final UpstreamLink link = new UpstreamLink(upstream, loop, new Metrics(), () -> {});
+        private final UpstreamLink link =
+                new UpstreamLink(upstream, loop, Clocks::monotonicMillis, new Metrics(), () -> {});
         private long reports;
 
         private void hear(long born) {
