Count reports of the present process against a late one of another

What callers could see: after a takeover, an agent without leases, whose machine got no work.

Change: a report of the present process resets the confirmation of others.

Measured: AgentProcessOrderTest$LateReportsWithTheEpoch failed before (no lease in the last response), and passes.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -32,12 +32,12 @@
     private final UpstreamHealth health = new UpstreamHealth();
     private final Set<String> earlierProcesses = new HashSet<>();
 
-    /** The process that last reported before it was confirmed; empty if none. */
+    /** The unconfirmed process that has reported last; empty if the present one has since. */
     private String unconfirmedProcess = "";
 
     private AgentReport report;
 
-    /** The notice of the upstream with the highest sequence number; null before the first. */
+    /** The last notice that holds; null before the first. */
     private UpstreamNotice newestNotice;
 
     private String newestNoticeProcess = "";
@@ -122,11 +122,15 @@
 
     /**
      * Returns whether a report of another process than the present one may be a late report of an
-     * earlier process, and records its process. A process that has received orders of this epoch,
-     * and has reported last, lives.
+     * earlier process, and records its process. A process lives if it has received orders of this
+     * epoch and no other process has reported since its last report.
      */
     boolean recordUnconfirmedProcess(AgentReport newReport, long epoch) {
-        if (report == null || report.process().equals(newReport.process())) {
+        if (report == null) {
+            return false;
+        }
+        if (report.process().equals(newReport.process())) {
+            unconfirmedProcess = "";
             return false;
         }
         boolean confirmed =
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AnswerDoubt.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AnswerDoubt.java
@@ -19,7 +19,7 @@
         return number;
     }
 
-    /** Raises a doubt: a call has failed, or another incarnation was reported. */
+    /** Raises a doubt: a poll has failed, or another incarnation was reported. */
     void raise() {
         open = true;
         number++;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentProcessOrderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentProcessOrderTest.java
@@ -65,6 +65,24 @@
         }
     }
 
+    /** Two reports of an earlier process that has learned the epoch arrive late. */
+    @Nested
+    class LateReportsWithTheEpoch {
+        // Guards against a process that is replaced by one that has ended: reports of the present
+        // process in between did not count.
+        @Test
+        void doNotReplaceAPresentProcessThatReportsInBetween() {
+            Dispatcher dispatcher = bed.claim();
+            present.epoch = present.exchange(dispatcher).epoch();
+            earlier.epoch = earlier.report(dispatcher).join().epoch();
+            present.exchange(dispatcher);
+            earlier.report(dispatcher);
+            present.exchange(dispatcher);
+
+            assertThat(present.exchange(dispatcher).leaseMillis()).isPositive();
+        }
+    }
+
     /** A report of an earlier process is the first one of its agent to a new dispatcher. */
     @Nested
     class LateReportBeforeAnyOther {
