Settle at once whether the same incarnation answers after a failed poll

Cause: after a failed poll, starts and the lease wait for the next answer, and that poll waited for a second as usual.

Change: this poll does not wait.

Measured: UpstreamLinkTest failed before ("but was: 1S").

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
@@ -255,7 +255,9 @@
             return;
         }
         polling = true;
-        Duration wait = ended.isEmpty() && polledSinceBoot ? POLL_WAIT : Duration.ZERO;
+        // A doubt is settled at once, since it holds back starts and the lease.
+        boolean waits = ended.isEmpty() && polledSinceBoot && !doubt.open();
+        Duration wait = waits ? POLL_WAIT : Duration.ZERO;
         pollOnce(
                 wait,
                 () -> {
