--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamWalkTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamWalkTest.java
@@ -51,8 +51,7 @@
         }
 
         // Seed 7132: the next incarnation got a lease on the clock of the one before, which
-        // outlived
-        // the one that the dispatcher had granted.
+        // outlived the one that the dispatcher had granted.
         @Test
         void aLeaseReachesTheNextIncarnation() {
             expectNoViolation(
