Go on to report when a report to an earlier dispatcher fails

Cause: an agent reports again when a reply comes and no other report is awaited. If the last awaited one was to the dispatcher before, its failure came after the replies of the new one, and nothing reported again until the runs changed.

Change: an agent also goes on after a failure; an answered start is reported each time, as before.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentRunner.java
@@ -219,13 +219,12 @@
             if (dispatcherAddress.isEmpty()) {
                 loop.schedule(this::findDispatcher, SEARCH_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             }
-            return;
-        }
-        if (orders.epoch() >= epoch) {
+        } else if (orders.epoch() >= epoch) {
             epoch = orders.epoch();
             addEntryAddresses(orders.entries());
             upstream.applyOrders(orders, reportedNotice, upstreamClockAtSend);
         }
+        // Also after a failure, which may be that of the last report to an earlier dispatcher.
         if (pendingReports == 0) {
             reportIfDispatcherKnown();
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
@@ -229,19 +229,20 @@
         return tracker.hasPresent() && boot.equals(tracker.notice().boot());
     }
 
-    /** Adds a started run to the runs, unless the run or a later run of its task is listed. */
+    /** Reports a started run, and adds it to the runs unless a run of its task is listed. */
     void addRunning(StartOrder order) {
-        for (RunStatus status : running) {
-            if (status.task().equals(order.task()) && status.run() >= order.run()) {
-                return;
-            }
+        boolean listed =
+                running.stream()
+                        .anyMatch(r -> r.task().equals(order.task()) && r.run() >= order.run());
+        if (!listed) {
+            // Full speed and no load are assumed until the next poll.
+            RunStatus started =
+                    new RunStatus(order.task(), order.run(), order.checkpoint(), 100, 0);
+            recentStarts.add(started, pollCount);
+            List<RunStatus> updated = new ArrayList<>(running);
+            updated.add(started);
+            running = updated;
         }
-        // Full speed and no load are assumed until the next poll.
-        RunStatus started = new RunStatus(order.task(), order.run(), order.checkpoint(), 100, 0);
-        recentStarts.add(started, pollCount);
-        List<RunStatus> updated = new ArrayList<>(running);
-        updated.add(started);
-        running = updated;
         onChange.run();
     }
 
