--- a/review/support-2/Bed.java
+++ b/review/support-2/Bed.java
@@ -25,6 +25,9 @@
     final List<Minion> minions = new ArrayList<>();
     final List<ChaosMinion> chaosMinions = new ArrayList<>();
     private final Map<String, Process> processes = new ConcurrentHashMap<>();
+    final Map<String, Integer> ownEnds = new ConcurrentHashMap<>();
+    private final java.util.Set<Long> killed = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
     private final Path root = Path.of("").toAbsolutePath();
     private final Path folder;
     private final String network;
@@ -112,6 +115,10 @@
         return "";
     }
 
+    String callerAddress(int entry) {
+        return entryIp(entry) + ':' + callerPort;
+    }
+
     String adminAddress(int agent) {
         return agentIp(agent) + ':' + adminPort;
     }
@@ -122,7 +129,11 @@
         if (name.startsWith("entry")) {
             launch("entry", name, entryIp(number), null);
         } else {
-            launch("agent", name, agentIp(number), chaosMinions.get(number).address());
+            String app =
+                    minions.isEmpty()
+                            ? chaosMinions.get(number).address()
+                            : minions.get(number).address();
+            launch("agent", name, agentIp(number), app);
         }
         record.say("started " + name);
     }
@@ -198,9 +209,36 @@
         return matcher.group(1);
     }
 
+    /** Starts each process again a second after it has ended by itself, and counts these ends. */
+    void restartEnded() {
+        Thread thread = new Thread(this::watchProcesses, "restart");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void watchProcesses() {
+        while (!closed) {
+            for (String name : List.copyOf(processes.keySet())) {
+                Process process = processes.get(name);
+                if (!process.isAlive() && !killed.contains(process.pid()) && !closed) {
+                    ownEnds.merge(name, 1, Integer::sum);
+                    record.say(name + " has ended by itself with " + process.exitValue());
+                    Minion.sleep(1_000);
+                    try {
+                        relaunch(name);
+                    } catch (IOException e) {
+                        record.say("cannot start " + name + ": " + e);
+                    }
+                }
+            }
+            Minion.sleep(50);
+        }
+    }
+
     /** Sends SIGKILL to a process. */
     void kill(String name) throws InterruptedException {
         Process process = processes.get(name);
+        killed.add(process.pid());
         process.destroyForcibly();
         process.waitFor(10, TimeUnit.SECONDS);
         record.say("killed " + name);
@@ -276,6 +314,7 @@
     }
 
     void killAll() {
+        closed = true;
         processes.values().forEach(Process::destroyForcibly);
     }
 
--- a/review/support-2/ManyEnds.java
+++ b/review/support-2/ManyEnds.java
@@ -14,12 +14,14 @@
     private static final String JOB = "00000000000000a1";
     private static final int TASKS = Integer.getInteger("tasks", 2_400);
 
+    private static long firstStartMillis;
+
     private ManyEnds() {}
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status = 2;
-        try (Bed bed = new Bed(2, 2, 32_000, 4, task -> Minion.random(9_000, 10_000))) {
+        try (Bed bed = new Bed(2, 2, 32_000, 4, task -> workMillis())) {
             try {
                 status = run(bed, trouble);
             } catch (IllegalStateException e) {
@@ -31,10 +33,19 @@
         System.exit(status);
     }
 
+    /** Returns how long a task that starts now works: all tasks end within the same second. */
+    private static synchronized long workMillis() {
+        long now = System.nanoTime() / 1_000_000;
+        if (firstStartMillis == 0) {
+            firstStartMillis = now;
+        }
+        return Math.max(500, firstStartMillis + 12_000 - now) + Minion.random(0, 1_000);
+    }
+
     private static int run(Bed bed, boolean trouble) throws Exception {
         bed.start(CONFIGURATION);
         Map<String, Object> step =
-                Map.of("count", TASKS, "cpu", 20, "mem_mb", 10, "estimate_ms", 9_500);
+                Map.of("count", TASKS, "cpu", 25, "mem_mb", 10, "estimate_ms", 12_000);
         if (!bed.submit(JOB, Map.of("spec", "small tasks", "steps", List.of(step)))) {
             throw new IllegalStateException("the job was not accepted");
         }
@@ -49,7 +60,12 @@
         if (trouble) {
             bed.kill(bed.dispatcher());
         }
-        boolean succeeded = Bed.await(45_000, () -> bed.state(1, JOB).equals("succeeded") || bed.state(0, JOB).equals("succeeded"));
+        boolean succeeded =
+                Bed.await(
+                        40_000,
+                        () ->
+                                bed.state(1, JOB).equals("succeeded")
+                                        || bed.state(0, JOB).equals("succeeded"));
         bed.record.say("the job " + (succeeded ? "has succeeded" : "has not succeeded"));
         Minion.sleep(3_000);
         List<String> twice = bed.ledger.twice();
--- a/review/support-2/Store.java
+++ b/review/support-2/Store.java
@@ -36,6 +36,10 @@
         private final Map<String, Long> newest = new TreeMap<>();
     }
 
+    /** The remote ports of the connections that have been used, and of those that went silent. */
+    private final java.util.Set<String> connections = new java.util.HashSet<>();
+
+    private final java.util.Set<String> silent = new java.util.HashSet<>();
     private final Map<String, Part> parts = new HashMap<>();
     private final HttpServer server;
     private final String address;
@@ -57,6 +61,13 @@
         server.stop(0);
     }
 
+    /** Makes all open connections silent for good; new ones work. */
+    synchronized void silenceConnections() {
+        silent.addAll(connections);
+        connections.clear();
+        notifyAll();
+    }
+
     /** Appends a record of an operator. */
     synchronized void put(String topic, String key, byte[] value) {
         append(part(topic, 0), keyed(key, value));
@@ -116,6 +127,16 @@
         String topic = query.getOrDefault("topic", "");
         int number = Integer.parseInt(query.getOrDefault("part", "0"));
         String caller = call.getRemoteAddress().getAddress().getHostAddress();
+        String connection = call.getRemoteAddress().toString();
+        boolean silentNow;
+        synchronized (this) {
+            connections.add(connection);
+            silentNow = silent.contains(connection);
+        }
+        if (silentNow) {
+            Thread.sleep(60_000);
+            return null;
+        }
         Action action = fault.on(caller, operation, topic, number);
         if (action == Action.SILENT) {
             Thread.sleep(60_000);
@@ -132,7 +153,10 @@
                     case "log-newest" -> newest(topic, number, query);
                     default -> Web.json(404, Map.of());
                 };
-        if (action == Action.LOSE_ANSWER) {
+        synchronized (this) {
+            silentNow = silent.contains(connection);
+        }
+        if (action == Action.LOSE_ANSWER || silentNow) {
             Thread.sleep(60_000);
             return null;
         }
