--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../support-2/run-case.sh" JobBurst "$(cd "$(dirname "$0")" && pwd)"
+exec "$(dirname "$0")/../support-2/run-case.sh" LargeJobReply "$(cd "$(dirname "$0")" && pwd)"
--- a/review/support-2/Minion.java
+++ b/review/support-2/Minion.java
@@ -102,6 +102,15 @@
         return running.size();
     }
 
+    /** Returns the processor time that the running tasks need; those of job ...a0 are the large ones. */
+    synchronized long usedCpu(long largeCpu, long smallCpu) {
+        long used = 0;
+        for (String task : running.keySet()) {
+            used += task.startsWith("00000000000000a0") ? largeCpu : smallCpu;
+        }
+        return used;
+    }
+
     private long clock() {
         return 1_000 + (System.nanoTime() - startNanos) / 1_000_000;
     }
