--- a/review/support-2/ChaosMinion.java
+++ b/review/support-2/ChaosMinion.java
@@ -45,6 +45,19 @@
     long gpu = 8;
     String state = "ready";
     long leavesAt;
+    /** How far the time of day of the minion is ahead; negative if it was set back. */
+    volatile long clockOffsetMillis;
+
+    /** Whether the clock of each life starts at zero. */
+    volatile boolean clockStartsAnew;
+
+    /** Whether the next start order gets no answer and is carried out late. */
+    volatile boolean withholdsNextStart;
+
+    /** Runs when an order was withheld. */
+    volatile Runnable onWithheld = () -> {};
+
+    volatile long withholdMillis;
     volatile double lateShare;
     volatile boolean unhealthy;
     volatile double failShare;
@@ -80,9 +93,10 @@
     void start(String newId) throws IOException {
         synchronized (world) {
             id = newId;
-            born = Math.max(born + 1, System.currentTimeMillis());
+            long now = System.currentTimeMillis() + clockOffsetMillis;
+            born = clockOffsetMillis == 0 ? Math.max(born + 1, now) : now;
             startNanos = System.nanoTime();
-            origin = random.nextInt(1_000_000);
+            origin = clockStartsAnew ? 0 : random.nextInt(1_000_000);
             rate = 0.98 + random.nextDouble() * 0.02;
             running.clear();
             barred.clear();
@@ -297,6 +311,19 @@
         int current = life;
         JsonNode body = Json.read(call.getRequestBody().readAllBytes());
         String target = call.getRequestHeaders().getFirst("X-Target-Instance");
+        if (withholdsNextStart && path.endsWith("run-start")) {
+            withholdsNextStart = false;
+            world.record.say(name + " leaves an order unanswered: " + body.path("task").asText());
+            onWithheld.run();
+            Minion.sleep(withholdMillis);
+            synchronized (world) {
+                Web.Response late = up ? perform(path, body, target, true) : null;
+                world.record.say(
+                        name + " carries the order out late: "
+                                + (late == null ? "is down" : late.status() + " " + late.text()));
+            }
+            return null;
+        }
         if (random.nextDouble() < lateShare) {
             Minion.sleep(2_000 + random.nextInt(10_000));
             synchronized (world) {
