--- a/review/support-2/SetBackLife.java
+++ b/review/support-2/SetBackLife.java
@@ -15,7 +15,7 @@
     private static final int ENTRIES = 2;
     private static final int AGENTS = 3;
     private static final long CLOCK_STEP_MILLIS = -2_400;
-    private static final long LATE_MILLIS = 3_000;
+    private static final long LATE_MILLIS = 2_500;
     private static final int TASKS = 3;
 
     private SetBackLife() {}
@@ -97,8 +97,8 @@
 
     private static World.Job submit(Bed bed, World world, String id) {
         World.Step step =
-                new World.Step(TASKS, 30_000, 100, 0, 1_800, false, false, false, 0, List.of());
-        World.Job job = new World.Job(id, "tasks of 1.8 s", List.of(step), 1);
+                new World.Step(TASKS, 30_000, 100, 0, 1_200, false, false, false, 0, List.of());
+        World.Job job = new World.Job(id, "tasks of 1.2 s", List.of(step), 1);
         synchronized (world) {
             world.jobs.put(job.id, job);
         }
