--- a/review/support-2/Minion.java
+++ b/review/support-2/Minion.java
@@ -102,11 +102,11 @@
         return running.size();
     }
 
-    /** Returns the processor time that the running tasks need; those of job ...a0 are the large ones. */
-    synchronized long usedCpu(long largeCpu, long smallCpu) {
+    /** Returns the processor time that the running tasks need, those of one job and those of others. */
+    synchronized long usedCpu(String largeJob, long largeCpu, long smallCpu) {
         long used = 0;
         for (String task : running.keySet()) {
-            used += task.startsWith("00000000000000a0") ? largeCpu : smallCpu;
+            used += task.startsWith(largeJob) ? largeCpu : smallCpu;
         }
         return used;
     }
