--- a/review/support-2/Bed.java
+++ b/review/support-2/Bed.java
@@ -19,6 +19,9 @@
 final class Bed implements AutoCloseable {
     static final String KEY = "k";
 
+    /** A case may run for 120 s; the rest is for the start of the virtual machine and the end. */
+    private static final long MAX_RUN_MILLIS = 110_000;
+
     final Record record = new Record();
     final Ledger ledger = new Ledger(record);
     final Store store;
@@ -70,6 +73,22 @@
         return network + (100 + i);
     }
 
+    /** Ends the case with status 2 before it has run for 120 s, and writes the record. */
+    void limitTime(Path recordFile) {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            Minion.sleep(MAX_RUN_MILLIS);
+                            record.say("could not run: not finished in time");
+                            record.write(recordFile);
+                            close();
+                            Runtime.getRuntime().halt(2);
+                        },
+                        "time-limit");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     /** Starts the minions and all processes, and waits until the entries are ready. */
     void start(String configuration) throws IOException, InterruptedException {
         store.put("keyed.op", "config", configuration.getBytes());
--- a/review/support-2/LargeJobReply.java
+++ b/review/support-2/LargeJobReply.java
@@ -16,6 +16,7 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status = 2;
         try (Bed bed = new Bed(2, 2, JobWatch.MINION_CPU, 4, task -> Minion.random(800, 1_200))) {
+            bed.limitTime(Path.of(arguments[0]));
             try {
                 status = run(bed, trouble);
             } catch (IllegalStateException e) {
--- a/review/support-2/ManyEnds.java
+++ b/review/support-2/ManyEnds.java
@@ -22,6 +22,7 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status = 2;
         try (Bed bed = new Bed(2, 2, 32_000, 4, task -> workMillis())) {
+            bed.limitTime(Path.of(arguments[0]));
             try {
                 status = run(bed, trouble);
             } catch (IllegalStateException e) {
--- a/review/support-2/SetBackLife.java
+++ b/review/support-2/SetBackLife.java
@@ -24,6 +24,7 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status = 2;
         try (Bed bed = new Bed(ENTRIES, 0, 0, 4, task -> 0)) {
+            bed.limitTime(Path.of(arguments[0]));
             World world = new World(bed.record);
             Random random = new Random(8);
             for (int i = 0; i < AGENTS; i++) {
