Conclude from absence only while all ends are listed

Cause: an upstream lists 500 ends at a time. RunOrders and RunTracker took that page for all ends, so a run that had ended counted as one that never existed. The new dispatcher orders each run again that is not listed; the upstream refuses, the agent has it stopped and bars it.

Change: an answer to a poll and a report tell whether they list all ends. A stopped run is barred, and a run of another incarnation ends, only if so; otherwise the next pages decide. One poll serves all stops that were answered before it, where each stop made one. A run that an earlier dispatcher assigned is ordered to start only after all ends are listed. The next page is polled as soon as the last one is acknowledged.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentReport.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentReport.java
@@ -17,7 +17,10 @@
  * @param lookAgeMillis the age of {@code running} and {@code ended}, which is the time since the
  *     last successful poll, in milliseconds
  * @param running the runs that exist on the upstream, not null
- * @param ended the ended runs that are not acknowledged, not null
+ * @param ended the ended runs with the lowest numbers that are not acknowledged, not null
+ * @param allEndsListed whether {@code ended} holds all ended runs that are not acknowledged;
+ *     otherwise a run that is in neither list may have ended; false if null, as in reports of
+ *     earlier versions
  * @param barred the runs that are confirmed not to exist and that the upstream will refuse to
  *     start, not null
  */
@@ -31,6 +34,7 @@
         long lookAgeMillis,
         List<RunStatus> running,
         List<EndedRun> ended,
+        Boolean allEndsListed,
         List<StopOrder> barred) {
     /** Checks the values. */
     public AgentReport {
@@ -38,6 +42,7 @@
         Objects.requireNonNull(process, "process");
         running = List.copyOf(running);
         ended = List.copyOf(ended);
+        allEndsListed = Objects.requireNonNullElse(allEndsListed, false);
         barred = List.copyOf(barred);
     }
 
@@ -53,6 +58,7 @@
                 lookAgeMillis,
                 running,
                 ended,
+                allEndsListed,
                 barred);
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
@@ -13,6 +13,7 @@
     private final boolean startedWithoutCheckpoint;
     private String boot;
     private boolean stored;
+    private boolean restored;
     private boolean listed;
     private boolean stopRequested;
 
@@ -82,6 +83,20 @@
         stored = true;
     }
 
+    /**
+     * Tests whether an earlier dispatcher has assigned the run, which may then have started and
+     * ended.
+     */
+    boolean restored() {
+        return restored;
+    }
+
+    /** Records that an earlier dispatcher has assigned the run. */
+    void markRestored() {
+        restored = true;
+        stored = true;
+    }
+
     /** Tests whether the upstream has listed the run. */
     boolean listed() {
         return listed;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
@@ -197,7 +197,7 @@
                 AssignedRun run =
                         new AssignedRun(
                                 key, task.run(), task.placement().boot(), stepOf(job, key), false);
-                run.markStored();
+                run.markRestored();
                 if (job.phase().ended()) {
                     run.requestStop();
                 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
@@ -86,7 +86,7 @@
 
     private static boolean hasOrders(AgentView agent, long now) {
         for (AssignedRun run : agent.runs().values()) {
-            boolean needsOrder = run.stopRequested() || !run.listed();
+            boolean needsOrder = run.stopRequested() || needsStart(agent, run);
             if (needsOrder && run.stored() && !run.orderSentWithin(ORDER_REPEAT_MILLIS, now)) {
                 return true;
             }
@@ -94,6 +94,15 @@
         return false;
     }
 
+    /**
+     * Tests whether a run has to be started as far as its upstream has listed its runs. A run of an
+     * earlier dispatcher may have ended while not all ends are listed.
+     */
+    private static boolean needsStart(AgentView agent, AssignedRun run) {
+        boolean mayHaveEnded = run.restored() && !agent.report().allEndsListed();
+        return !run.listed() && !mayHaveEnded;
+    }
+
     /** Returns the current orders for an agent, and records that they are sent. */
     AgentOrders currentOrders(AgentView agent) {
         long now = state.monotonicMillis();
@@ -110,7 +119,7 @@
             if (run.stopRequested()) {
                 stops.add(new StopOrder(run.task().toString(), run.number(), run.boot()));
                 run.markOrderSent(now);
-            } else if (!run.listed()
+            } else if (needsStart(agent, run)
                     && claimConfirmed
                     && agent.startAllowed(state.fleet().zonesOut())) {
                 starts.add(startOrder(run));
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunLists.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunLists.java
@@ -1,5 +1,6 @@
 package org.fescueloom.daemon.dispatch;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -20,6 +21,14 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Returns the identifiers of the runs that exist or have ended. */
+    static Set<String> runIds(List<RunStatus> running, List<EndedRun> ended) {
+        Set<String> ids = new HashSet<>();
+        running.forEach(status -> ids.add(runId(status.task(), status.run())));
+        ended.forEach(end -> ids.add(runId(end.task(), end.run())));
+        return ids;
+    }
+
     /** Returns the numbers of ends. */
     static Set<Long> endNumbers(List<EndedRun> ended) {
         return ended.stream().map(EndedRun::number).collect(Collectors.toSet());
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunOrders.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunOrders.java
@@ -20,8 +20,22 @@
     private final UpstreamControl upstream;
     private final ScheduledExecutorService loop;
     private final Metrics metrics;
+
+    /** The stopped runs of which no poll has shown yet whether they exist, by run identifier. */
+    private final Map<String, StoppedRun> stoppedRuns = new HashMap<>();
+
     private final Map<String, StopOrder> barredRuns = new HashMap<>();
     private final Set<String> pendingOrders = new HashSet<>();
+    private boolean pollPending;
+
+    /**
+     * Holds the stop order of a run.
+     *
+     * @param order the order
+     * @param lastPoll the number of the last poll that was sent before the upstream had executed
+     *     the order
+     */
+    private record StoppedRun(StopOrder order, long lastPoll) {}
 
     RunOrders(
             UpstreamLink link,
@@ -36,8 +50,10 @@
 
     /** Forgets all orders, because the incarnation to which they were sent has ended. */
     void reset() {
+        stoppedRuns.clear();
         barredRuns.clear();
         pendingOrders.clear();
+        pollPending = false;
     }
 
     /** Returns the runs that do not exist and that the upstream refuses to start. */
@@ -45,20 +61,19 @@
         return List.copyOf(barredRuns.values());
     }
 
-    /** Removes the barred runs for which the dispatcher sends no orders any more. */
-    void removeUnorderedBarredRuns(AgentOrders orders) {
+    /** Removes the stopped runs for which the dispatcher sends no orders any more. */
+    void removeUnorderedStoppedRuns(AgentOrders orders) {
         Set<String> orderedRuns = new HashSet<>();
         orders.starts().forEach(s -> orderedRuns.add(RunLists.runId(s.task(), s.run())));
         orders.stops().forEach(s -> orderedRuns.add(RunLists.runId(s.task(), s.run())));
+        stoppedRuns.keySet().retainAll(orderedRuns);
         barredRuns.keySet().retainAll(orderedRuns);
     }
 
     /** Sends a start order, unless it is obsolete or its result is awaited. */
     void startRun(StartOrder order, long leaseUntilMillis) {
         String runId = RunLists.runId(order.task(), order.run());
-        if (!link.isPresent(order.boot())
-                || barredRuns.containsKey(runId)
-                || !pendingOrders.add(runId)) {
+        if (!link.isPresent(order.boot()) || stopped(runId) || !pendingOrders.add(runId)) {
             return;
         }
         long countAtCall = link.incarnationCount();
@@ -113,7 +128,7 @@
     void stopRun(StopOrder order) {
         String runId = RunLists.runId(order.task(), order.run());
         if (!link.isPresent(order.boot())
-                || barredRuns.containsKey(runId)
+                || stopped(runId)
                 || !pendingOrders.add("stop " + runId)) {
             return;
         }
@@ -132,24 +147,65 @@
     private void onStopResult(StopOrder order, OrderResult result, Throwable error) {
         logOrder("run-stop", order.task(), order.run(), order.boot(), result, error);
         if (result == OrderResult.DONE) {
-            barIfAbsent(order);
+            stoppedRuns.put(
+                    RunLists.runId(order.task(), order.run()),
+                    new StoppedRun(order, link.pollCount()));
+            pollForStoppedRuns();
         }
     }
 
-    /**
-     * Adds a stopped run to the barred runs if a poll lists the run neither as running nor as
-     * ended. Such a run does not exist, and the upstream refuses to start it because it was
-     * stopped. The next report informs the dispatcher, which then ends the run.
-     */
-    private void barIfAbsent(StopOrder order) {
+    private boolean stopped(String runId) {
+        return stoppedRuns.containsKey(runId) || barredRuns.containsKey(runId);
+    }
+
+    /** Polls until each stopped run could be listed by a poll that was sent after its stop. */
+    private void pollForStoppedRuns() {
+        if (pollPending) {
+            return;
+        }
+        pollPending = true;
         link.pollOnce(
                 Duration.ZERO,
                 () -> {
-                    if (!link.lists(order.task(), order.run())) {
-                        barredRuns.put(RunLists.runId(order.task(), order.run()), order);
-                        link.reportChange();
+                    pollPending = false;
+                    long lastPoll = link.pollCount();
+                    if (stoppedRuns.values().stream().anyMatch(s -> s.lastPoll() == lastPoll)) {
+                        pollForStoppedRuns();
                     }
                 },
-                () -> {});
+                // The next of the repeated polls shows the runs.
+                () -> pollPending = false);
+    }
+
+    /**
+     * Handles the answer to a poll: bars the runs that were stopped before the poll was sent and
+     * that do not exist. Such a run is listed neither as running nor as ended, and the upstream
+     * refuses to start it because it was stopped. While not all ends are listed, a run that is not
+     * listed may have ended. The next report informs the dispatcher, which then ends the run.
+     *
+     * @param poll the number of the poll
+     * @param allEndsListed whether the answer lists all ends that are not acknowledged
+     */
+    void onSnapshot(long poll, boolean allEndsListed) {
+        if (stoppedRuns.isEmpty()) {
+            return;
+        }
+        Set<String> listedRuns = link.listedRunIds();
+        int barredBefore = barredRuns.size();
+        stoppedRuns
+                .entrySet()
+                .removeIf(
+                        stopped -> {
+                            boolean listed = listedRuns.contains(stopped.getKey());
+                            boolean absent = !listed && allEndsListed;
+                            boolean proven = stopped.getValue().lastPoll() < poll;
+                            if (absent && proven) {
+                                barredRuns.put(stopped.getKey(), stopped.getValue().order());
+                            }
+                            return proven && (listed || absent);
+                        });
+        if (barredRuns.size() > barredBefore) {
+            link.reportChange();
+        }
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -72,19 +72,21 @@
      * one has answered a poll: then no other incarnation exists. One with the same identifier may
      * have executed their start orders, which carry only the identifier, until it was first polled;
      * a later poll lists such a run, or the run will never exist there (see {@link FencingToken}).
+     * A run that is not listed may have ended while not all ends are listed.
      */
     private void resolveRunsOfOtherBoots(AgentView agent, AgentReport report) {
         if (!report.looked()) {
             return;
         }
         String instance = report.notice().instance();
+        Set<String> listedRuns = RunLists.runIds(report.running(), report.ended());
         for (AssignedRun run : agent.runsOfOtherBoots()) {
             boolean sameInstance = UpstreamNotice.instanceOf(run.boot()).equals(instance);
             if (!sameInstance) {
                 endRun(agent, run, RunEnd.GONE, "", EndEvidence.OTHER_UPSTREAM);
-            } else if (isListed(report, run)) {
+            } else if (listedRuns.contains(runId(run))) {
                 moveRun(agent, run);
-            } else {
+            } else if (report.allEndsListed()) {
                 endRun(agent, run, RunEnd.GONE, "", EndEvidence.LATER_INCARNATION);
             }
         }
@@ -103,9 +105,8 @@
         run.moveTo(agent.boot());
     }
 
-    private static boolean isListed(AgentReport report, AssignedRun run) {
-        return RunLists.contain(
-                report.running(), report.ended(), run.task().toString(), run.number());
+    private static String runId(AssignedRun run) {
+        return RunLists.runId(run.task().toString(), run.number());
     }
 
     /**
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
@@ -48,6 +48,7 @@
     private final RecentStarts recentStarts = new RecentStarts();
     private List<RunStatus> running = List.of();
     private List<EndedRun> ended = List.of();
+    private boolean allEndsListed;
     private long acknowledgedEndNumber;
     private long epoch;
     private long pollCount;
@@ -105,6 +106,7 @@
                 lease.clockAgeMillis(nowMillis),
                 running,
                 ended,
+                allEndsListed,
                 runOrders.barredRuns());
     }
 
@@ -131,6 +133,16 @@
         return RunLists.contain(running, ended, task, run);
     }
 
+    /** Returns the runs that the last poll listed as running or ended, as "TASK#RUN". */
+    Set<String> listedRunIds() {
+        return RunLists.runIds(running, ended);
+    }
+
+    /** Returns the number of the last poll that was sent. */
+    long pollCount() {
+        return pollCount;
+    }
+
     /** Informs the dispatcher of a change. */
     void reportChange() {
         onChange.run();
@@ -204,10 +216,14 @@
             return;
         }
         acknowledgedEndNumber = Math.max(acknowledgedEndNumber, orders.acknowledged());
+        if (!allEndsListed && listedAcknowledgedEndNumber() > 0) {
+            // The next page of ends is listed once this one is acknowledged.
+            pollNow();
+        }
         if (orders.leaseMillis() > 0 && upstreamClockAtSend > 0) {
             lease.extend(upstreamClockAtSend + orders.leaseMillis());
         }
-        runOrders.removeUnorderedBarredRuns(orders);
+        runOrders.removeUnorderedStoppedRuns(orders);
         if (polledSinceBoot && lease.mustBeSent(clock.getAsLong())) {
             pollOnce(Duration.ZERO, () -> {}, () -> {});
         }
@@ -453,6 +469,7 @@
         doubt.clear();
         running = List.of();
         ended = List.of();
+        allEndsListed = false;
         runOrders.reset();
         acknowledgedEndNumber = 0;
         lease.reset();
@@ -475,6 +492,8 @@
         lease.readClock(snapshot.clockMillis(), clock.getAsLong());
         running = existing;
         ended = snapshot.ended();
+        allEndsListed = snapshot.allEndsListed();
+        runOrders.onSnapshot(poll, allEndsListed);
         if (endsChanged || runsChanged) {
             onChange.run();
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamSnapshot.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamSnapshot.java
@@ -1,5 +1,6 @@
 package org.fescueloom.daemon.dispatch;
 
+import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -8,14 +9,20 @@
  * @param clockMillis the reading of the upstream's monotonic clock
  * @param bornMillis when this incarnation of the upstream started, in milliseconds since 1970; 0 if
  *     unknown
- * @param running the runs that exist, not null
- * @param ended the ended runs that are not acknowledged, not null
+ * @param running the runs that exist, all of them, not null
+ * @param ended the ended runs with the lowest numbers that are not acknowledged, not null
+ * @param allEndsListed whether {@code ended} holds all ended runs that are not acknowledged;
+ *     otherwise a run that is in neither list may have ended
  */
 public record UpstreamSnapshot(
-        long clockMillis, long bornMillis, List<RunStatus> running, List<EndedRun> ended) {
-    /** Copies the lists. */
+        long clockMillis,
+        long bornMillis,
+        List<RunStatus> running,
+        List<EndedRun> ended,
+        boolean allEndsListed) {
+    /** Copies the lists, and sorts the ends by their numbers. */
     public UpstreamSnapshot {
         running = List.copyOf(running);
-        ended = List.copyOf(ended);
+        ended = ended.stream().sorted(Comparator.comparingLong(EndedRun::number)).toList();
     }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentLeaseTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentLeaseTest.java
@@ -54,7 +54,7 @@
             longestLeftMillis.accumulateAndGet(leaseUntilMillis - clockMillis, Math::max);
             if (wait.isZero()) {
                 return CompletableFuture.completedFuture(
-                        new UpstreamSnapshot(clockMillis, 1, List.of(), List.of()));
+                        new UpstreamSnapshot(clockMillis, 1, List.of(), List.of(), true));
             }
             hangingPolls.incrementAndGet();
             return new CompletableFuture<>();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FakeAgent.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FakeAgent.java
@@ -21,6 +21,7 @@
     List<EndedRun> ended = new ArrayList<>();
     List<StopOrder> barred = new ArrayList<>();
     boolean polled = true;
+    boolean allEndsListed = true;
     String process = "p";
     UpstreamState state = UpstreamState.READY;
 
@@ -59,6 +60,7 @@
                         0,
                         running,
                         ended,
+                        allEndsListed,
                         barred);
         return dispatcher.handleReport(report);
     }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/InMemoryUpstream.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/InMemoryUpstream.java
@@ -27,6 +27,8 @@
     private long bornMillis = 1;
     private boolean delaysStarts;
     private boolean ended;
+    private int startCount;
+    private int pageLength = Integer.MAX_VALUE;
     private final List<Runnable> delayedStarts = new ArrayList<>();
 
     private record Running(int run, long endMillis) {}
@@ -75,6 +77,26 @@
         ended = false;
     }
 
+    /**
+     * Limits the ends that the answer to a poll lists; further ends follow once these are
+     * acknowledged.
+     *
+     * @param length the maximum number of ends in an answer
+     */
+    public synchronized void limitPages(int length) {
+        pageLength = length;
+    }
+
+    /** Returns the number of runs that were started. */
+    public synchronized int startCount() {
+        return startCount;
+    }
+
+    /** Returns the number of ended runs that are not acknowledged. */
+    public synchronized int unacknowledgedEndCount() {
+        return endedRuns.size();
+    }
+
     /** Ends the process: nothing listens any more. */
     public synchronized void endProcess() {
         running.clear();
@@ -138,6 +160,7 @@
             return OrderResult.LATE;
         }
         running.put(order.task(), new Running(order.run(), clockMillis + runMillis));
+        startCount++;
         return OrderResult.DONE;
     }
 
@@ -178,7 +201,12 @@
         List<RunStatus> statuses = new ArrayList<>();
         running.forEach((task, run) -> statuses.add(new RunStatus(task, run.run(), "", 100, 0)));
         return CompletableFuture.completedFuture(
-                new UpstreamSnapshot(clockMillis, bornMillis, statuses, endedRuns));
+                new UpstreamSnapshot(
+                        clockMillis,
+                        bornMillis,
+                        statuses,
+                        endedRuns.subList(0, Math.min(pageLength, endedRuns.size())),
+                        endedRuns.size() < pageLength));
     }
 
     private void end(String task, RunEnd runEnd) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/RecentStartsTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/RecentStartsTest.java
@@ -13,7 +13,7 @@
     private final RecentStarts starts = new RecentStarts();
 
     private static UpstreamSnapshot snapshot(List<RunStatus> running, List<EndedRun> ended) {
-        return new UpstreamSnapshot(1, 1, running, ended);
+        return new UpstreamSnapshot(1, 1, running, ended, true);
     }
 
     @Nested
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/SimulatedFleet.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/SimulatedFleet.java
@@ -99,6 +99,7 @@
                             0,
                             statuses(),
                             List.copyOf(ended),
+                            true,
                             List.of());
             long sent = sequence;
             CompletableFuture<AgentOrders> reply = dispatcher.get().handleReport(report);
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamLinkTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamLinkTest.java
@@ -65,7 +65,7 @@
 
     private void answerPolls() {
         for (Poll poll : List.copyOf(polls)) {
-            poll.answer().complete(new UpstreamSnapshot(1_000, 1, List.of(), List.of()));
+            poll.answer().complete(new UpstreamSnapshot(1_000, 1, List.of(), List.of(), true));
         }
         loop.advance(2);
     }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamRestartTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamRestartTest.java
@@ -98,6 +98,24 @@
             assertThat(restarting.exchange(second).stops()).isEmpty();
         }
 
+        // Guards against the class of the review's case 6: the next incarnation has started a run
+        // from a late order, and its end is not on the first page.
+        @Test
+        void keepsARunWhoseEndMayBeListedLater() {
+            Dispatcher dispatcher = startTask();
+            RunStatus started = restarting.running.get(0);
+            restarting.restartUpstream();
+            restarting.allEndsListed = false;
+            restarting.exchange(dispatcher);
+            assertThat(other.exchange(dispatcher).starts()).isEmpty();
+
+            restarting.ended.add(new EndedRun(501, started.task(), started.run(), RunEnd.DONE, ""));
+            restarting.allEndsListed = true;
+            restarting.exchange(dispatcher);
+            assertThat(other.exchange(dispatcher).starts()).isEmpty();
+            assertThat(bed.jobStatus(dispatcher, "j")).isEqualTo(JobStatus.SUCCEEDED);
+        }
+
         // Guards against issue 53: a report of another identifier ended all runs although nobody
         // had asked the upstream.
         @Test
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/WalkProcess.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/WalkProcess.java
@@ -234,6 +234,6 @@
     private UpstreamSnapshot snapshot() {
         List<RunStatus> statuses = new ArrayList<>();
         runs.values().forEach(r -> statuses.add(new RunStatus(r.task, r.number, "", 100, 0)));
-        return new UpstreamSnapshot(clock(), bornMillis, statuses, ended);
+        return new UpstreamSnapshot(clock(), bornMillis, statuses, ended, true);
     }
 }
