Read the registrations of entries from all pages

Change: all pages are read, as for every other keyed log. The log in memory lists pages of 500 records, as the log service does.

Measured: EntryDirectoryTest#areReadFromAllPages failed before (500 of 1,100 registrations); it passes now.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryDirectory.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/EntryDirectory.java
@@ -73,10 +73,10 @@
      * have succeeded.
      */
     void start() {
-        log.newest(LOG, "")
+        LatestRecords.read(log, LOG)
                 .thenCompose(
-                        page -> {
-                            Map<String, Registration> registrations = read(page.records());
+                        latest -> {
+                            Map<String, Registration> registrations = read(latest.records());
                             loop.execute(() -> onRegistrations.accept(registrations));
                             return registered
                                     ? CompletableFuture.completedFuture(null)
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryDirectoryTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/EntryDirectoryTest.java
@@ -40,6 +40,17 @@
             assertThat(read).containsEntry("own:1", OWN);
         }
 
+        // Guards against the class of the review's case 6: one page was taken for all entries.
+        @Test
+        void areReadFromAllPages() {
+            for (int i = 0; i < 1_100; i++) {
+                store("10.0.0.1:" + i, "{}");
+            }
+            start();
+
+            assertThat(read).hasSize(1_100);
+        }
+
         @Test
         void ofEarlierVersionsAndUnreadableOnesLackTheProcessorTime() {
             store("old:1", "{\"process\":\"p\"}");
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/MemoryKeyedLog.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/MemoryKeyedLog.java
@@ -17,6 +17,9 @@
     /** The longest record that the log service of known deployments accepts. */
     static final int KNOWN_RECORD_BYTES = 262_144;
 
+    /** The longest page of newest records. */
+    private static final int PAGE_RECORDS = 500;
+
     /** Names the faults of a call. */
     public enum Fault {
         /** The call is executed and gets a response. */
@@ -155,8 +158,13 @@
                 newest.put(keyedRecord.key(), keyedRecord);
             }
         }
-        return CompletableFuture.completedFuture(
-                new KeyedPage(new ArrayList<>(newest.values()), false, all.size()));
+        List<KeyedRecord> following = new ArrayList<>(newest.values());
+        if (newest.containsKey(afterKey)) {
+            following.subList(0, 1 + following.indexOf(newest.get(afterKey))).clear();
+        }
+        boolean hasMore = following.size() > PAGE_RECORDS;
+        List<KeyedRecord> page = hasMore ? following.subList(0, PAGE_RECORDS) : following;
+        return CompletableFuture.completedFuture(new KeyedPage(page, hasMore, all.size()));
     }
 
     @Override
