Bound what a response with orders and an agent's calls hold

Cause: a response to an agent held all starts that the upstream had not listed, each with the whole payload, some 10 MB. The entry could not write that (16 MiB of direct memory), answered 500, and built the same response again, while each try counted as a granted lease. Further members of the class: the agent sent all starts at once, each with its payload, and ended for lack of memory; it sent a list of all runs for each start; a report of more than 1 MiB is refused.

What is left over follows at once: stops first, then starts by priority, the jobs in turns. A response that is not complete withdraws nothing. While starts wait, it reports once for 200 of them. An upstream with 4,096 runs gets no single tasks.

--- a/fescueloom-core/src/main/java/org/fescueloom/work/TaskKey.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/work/TaskKey.java
@@ -56,6 +56,17 @@
         }
     }
 
+    /**
+     * Returns the identifier of the job in the text form of a key.
+     *
+     * @param text the text form, not null
+     * @return the text before the first dot, or the whole text if it has no dot; never null
+     */
+    public static String jobOf(String text) {
+        int end = text.indexOf('.');
+        return end < 0 ? text : text.substring(0, end);
+    }
+
     /**
      * Returns the text form of this key.
      *
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -27,6 +27,12 @@
      */
     private static final long MAX_NOTICE_AGE_MILLIS = 10_000;
 
+    /**
+     * An upstream with this many runs gets no more single tasks. A report lists all runs, and the
+     * servers of the system accept bodies of up to 1 MiB.
+     */
+    static final int MAX_RUNS = 4_096;
+
     private final String name;
     private final Map<String, AssignedRun> runs = new LinkedHashMap<>();
     private final UpstreamHealth health = new UpstreamHealth();
@@ -259,6 +265,11 @@
         return resourcesOf(run -> true);
     }
 
+    /** Tests whether the upstream has as many runs as a report can carry. */
+    boolean fullOfRuns() {
+        return runs.size() >= MAX_RUNS;
+    }
+
     /** Returns the resources of the runs whose stop is requested. */
     Resources stoppingResources() {
         return resourcesOf(AssignedRun::stopRequested);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
@@ -220,6 +220,14 @@
         }
     }
 
+    /** Returns the priority of a job, or the least urgent one if its queue is not configured. */
+    int priority(String jobId) {
+        WorkJob job = jobs.get(jobId);
+        return job == null || fleet().configuration() == null
+                ? SchedulerInput.LOWEST_PRIORITY
+                : SchedulerInput.priority(fleet(), job);
+    }
+
     /** Returns the identifier of the gang of a task, or of the task itself if it has no gang. */
     String gangOrTaskId(TaskKey task) {
         WorkJob job = jobs.get(task.job());
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -415,6 +415,10 @@
                     new TaskKey(unit.job(), unit.occurrence(), unit.step(), agentByIndex.getKey());
             TaskRecord task = job.task(key);
             AgentView agent = state.agent(agentByIndex.getValue());
+            if (agent.fullOfRuns() && !unit.spec().gang()) {
+                state.metrics().count("tasks.refused-by-run-limit");
+                continue;
+            }
             int runNumber = unit.spec().gang() ? gangRunNumber : task.run() + 1;
             job.replaceTask(
                     key, task.withRun(runNumber, new Placement(agent.name(), agent.boot())));
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/OrderIssuer.java
@@ -1,9 +1,13 @@
 package org.fescueloom.daemon.dispatch;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.fescueloom.work.WorkJob;
 
 /**
@@ -17,9 +21,24 @@
     /** An order whose effect the upstream has not listed is sent again after this time. */
     private static final long ORDER_REPEAT_MILLIS = 400;
 
+    /**
+     * How many starts of a job follow each other in a response, which then carries its payload for
+     * all of them.
+     */
+    private static final int RUNS_PER_TURN = 32;
+
     private final DispatchState state;
     private final Supplier<List<String>> entries;
 
+    /**
+     * Ranks a run among those for which orders stand.
+     *
+     * @param run the run
+     * @param urgency 0 for a stop, otherwise higher for less urgent jobs
+     * @param turn the number of the turn of the job in which the order is sent
+     */
+    private record RankedRun(AssignedRun run, long urgency, int turn) {}
+
     OrderIssuer(DispatchState state, Supplier<List<String>> entries) {
         this.state = state;
         this.entries = entries;
@@ -103,30 +122,19 @@
         return !run.listed() && !mayHaveEnded;
     }
 
-    /** Returns the current orders for an agent, and records that they are sent. */
+    /**
+     * Returns the current orders for an agent, as many as one response may carry, and records that
+     * they are sent.
+     */
     AgentOrders currentOrders(AgentView agent) {
         long now = state.monotonicMillis();
         agent.markAnswered();
         boolean claimConfirmed = state.contact().freshWithin(state.timings().maxProofAgeMillis());
-        List<StartOrder> starts = new ArrayList<>();
-        List<StopOrder> stops = new ArrayList<>();
-        for (AssignedRun run : agent.runs().values()) {
-            // An order is sent only after the assignment of the run is stored, and only to the
-            // incarnation of the upstream to which the run was assigned.
-            if (!run.stored() || !run.boot().equals(agent.boot())) {
-                continue;
-            }
-            if (run.stopRequested()) {
-                stops.add(new StopOrder(run.task().toString(), run.number(), run.boot()));
-                run.markOrderSent(now);
-            } else if (needsStart(agent, run)
-                    && claimConfirmed
-                    && agent.startAllowed(state.fleet().zonesOut())) {
-                starts.add(startOrder(run));
-                run.markOrderSent(now);
-            }
-        }
-        addStopsOfUnknownRuns(agent, stops);
+        OrderBatch batch = new OrderBatch();
+        Map<Boolean, List<AssignedRun>> runsBySentLately = runsToOrder(agent, claimConfirmed, now);
+        addOrders(runsBySentLately.get(false), batch, now);
+        addStopsOfUnknownRuns(agent, batch);
+        addOrders(runsBySentLately.get(true), batch, now);
         boolean leaseGranted = claimConfirmed && agent.upstreamReachable();
         if (leaseGranted) {
             agent.markLeaseGranted(now);
@@ -136,29 +144,79 @@
                 leaseGranted ? state.timings().leaseMillis() : 0,
                 agent.boot(),
                 agent.acknowledgedEndNumber(),
-                starts,
-                stops,
+                batch.starts(),
+                batch.stops(),
+                batch.complete(),
                 entries.get());
     }
 
+    /** Adds the orders for runs to a batch while they fit, and records that they are sent. */
+    private void addOrders(List<AssignedRun> runs, OrderBatch batch, long now) {
+        for (AssignedRun run : runs) {
+            boolean fits =
+                    run.stopRequested() ? batch.add(stopOrder(run)) : batch.add(startOrder(run));
+            if (!fits) {
+                return;
+            }
+            run.markOrderSent(now);
+        }
+    }
+
+    /**
+     * Returns the runs for which orders stand, by whether their order was sent lately, in the order
+     * in which they are sent: first stops, then starts by priority. The jobs of a priority take
+     * turns, so that a large job does not hold up the others.
+     */
+    private Map<Boolean, List<AssignedRun>> runsToOrder(
+            AgentView agent, boolean claimConfirmed, long now) {
+        boolean mayStart = claimConfirmed && agent.startAllowed(state.fleet().zonesOut());
+        Map<String, Integer> runsByJob = new HashMap<>();
+        List<RankedRun> ranked = new ArrayList<>();
+        for (AssignedRun run : agent.runs().values()) {
+            boolean stop = run.stopRequested();
+            // An order is sent only after the assignment of the run is stored, and only to the
+            // incarnation of the upstream to which the run was assigned.
+            if (run.stored()
+                    && run.boot().equals(agent.boot())
+                    && (stop || mayStart && needsStart(agent, run))) {
+                int position = runsByJob.merge(run.task().job(), 1, Integer::sum) - 1;
+                ranked.add(
+                        new RankedRun(
+                                run,
+                                stop ? 0 : 1L + state.priority(run.task().job()),
+                                position / RUNS_PER_TURN));
+            }
+        }
+        ranked.sort(Comparator.comparingLong(RankedRun::urgency).thenComparingInt(RankedRun::turn));
+        return ranked.stream()
+                .map(RankedRun::run)
+                .collect(
+                        Collectors.partitioningBy(
+                                run -> run.orderSentWithin(ORDER_REPEAT_MILLIS, now)));
+    }
+
     /** Returns orders that order, acknowledge and grant nothing. */
     AgentOrders noOrders() {
-        return new AgentOrders(state.epoch(), 0, "", 0, List.of(), List.of(), entries.get());
+        return new AgentOrders(state.epoch(), 0, "", 0, List.of(), List.of(), true, entries.get());
     }
 
     /** Adds stop orders for reported runs that the dispatcher has no record of. */
-    private static void addStopsOfUnknownRuns(AgentView agent, List<StopOrder> stops) {
+    private static void addStopsOfUnknownRuns(AgentView agent, OrderBatch batch) {
         if (agent.report() == null || agent.notice() == null) {
             return;
         }
         for (RunStatus status : agent.report().running()) {
             AssignedRun known = agent.runs().get(status.task());
             if (known == null || known.number() != status.run()) {
-                stops.add(new StopOrder(status.task(), status.run(), agent.boot()));
+                batch.add(new StopOrder(status.task(), status.run(), agent.boot()));
             }
         }
     }
 
+    private static StopOrder stopOrder(AssignedRun run) {
+        return new StopOrder(run.task().toString(), run.number(), run.boot());
+    }
+
     private StartOrder startOrder(AssignedRun run) {
         WorkJob job = state.jobs().get(run.task().job());
         return new StartOrder(
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RecentStarts.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RecentStarts.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Keeps the runs that an upstream has just started, until it answers a poll that was sent later.
@@ -30,14 +31,14 @@
      * @param snapshot the answer, not null
      */
     List<RunStatus> addTo(UpstreamSnapshot snapshot, long poll) {
-        starts.removeIf(
-                start ->
-                        start.lastPoll() < poll
-                                || RunLists.contain(
-                                        snapshot.running(),
-                                        snapshot.ended(),
-                                        start.status().task(),
-                                        start.status().run()));
+        starts.removeIf(start -> start.lastPoll() < poll);
+        if (!starts.isEmpty()) {
+            Set<String> listed = RunLists.runIds(snapshot.running(), snapshot.ended());
+            starts.removeIf(
+                    start ->
+                            listed.contains(
+                                    RunLists.runId(start.status().task(), start.status().run())));
+        }
         List<RunStatus> running = new ArrayList<>(snapshot.running());
         starts.forEach(start -> running.add(start.status()));
         return running;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunOrders.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunOrders.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.Executor;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.Failures;
@@ -16,16 +16,22 @@
  * the event loop of the agent.
  */
 final class RunOrders {
+    /**
+     * While start orders wait, the dispatcher is informed each time that this many runs have
+     * started: a report lists all runs.
+     */
+    private static final int STARTS_PER_REPORT = 200;
+
     private final UpstreamLink link;
     private final UpstreamControl upstream;
-    private final ScheduledExecutorService loop;
     private final Metrics metrics;
 
     /** The stopped runs of which no poll has shown yet whether they exist, by run identifier. */
     private final Map<String, StoppedRun> stoppedRuns = new HashMap<>();
 
     private final Map<String, StopOrder> barredRuns = new HashMap<>();
-    private final Set<String> pendingOrders = new HashSet<>();
+    private final OrderQueue queue;
+    private int unreportedStarts;
     private boolean pollPending;
 
     /**
@@ -37,22 +43,19 @@
      */
     private record StoppedRun(StopOrder order, long lastPoll) {}
 
-    RunOrders(
-            UpstreamLink link,
-            UpstreamControl upstream,
-            ScheduledExecutorService loop,
-            Metrics metrics) {
+    RunOrders(UpstreamLink link, UpstreamControl upstream, Executor loop, Metrics metrics) {
         this.link = link;
         this.upstream = upstream;
-        this.loop = loop;
         this.metrics = metrics;
+        queue = new OrderQueue(loop);
     }
 
     /** Forgets all orders, because the incarnation to which they were sent has ended. */
     void reset() {
         stoppedRuns.clear();
         barredRuns.clear();
-        pendingOrders.clear();
+        queue.reset();
+        unreportedStarts = 0;
         pollPending = false;
     }
 
@@ -61,31 +64,40 @@
         return List.copyOf(barredRuns.values());
     }
 
-    /** Removes the stopped runs for which the dispatcher sends no orders any more. */
-    void removeUnorderedStoppedRuns(AgentOrders orders) {
+    /** Removes the start orders that wait, because another dispatcher decides which ones stand. */
+    void removeWaitingStarts() {
+        queue.retainWaitingStarts(Set.of());
+    }
+
+    /**
+     * Removes the stopped runs and the waiting start orders for which the dispatcher sends no
+     * orders any more. Has no effect unless the orders are complete.
+     */
+    void removeUnorderedRuns(AgentOrders orders) {
+        if (!orders.complete()) {
+            return;
+        }
         Set<String> orderedRuns = new HashSet<>();
         orders.starts().forEach(s -> orderedRuns.add(RunLists.runId(s.task(), s.run())));
         orders.stops().forEach(s -> orderedRuns.add(RunLists.runId(s.task(), s.run())));
         stoppedRuns.keySet().retainAll(orderedRuns);
         barredRuns.keySet().retainAll(orderedRuns);
+        queue.retainWaitingStarts(orderedRuns);
     }
 
     /** Sends a start order, unless it is obsolete or its result is awaited. */
     void startRun(StartOrder order, long leaseUntilMillis) {
         String runId = RunLists.runId(order.task(), order.run());
-        if (!link.isPresent(order.boot()) || stopped(runId) || !pendingOrders.add(runId)) {
+        if (!link.isPresent(order.boot()) || stopped(runId)) {
             return;
         }
-        long countAtCall = link.incarnationCount();
-        upstream.start(link.notice().instance(), order, link.token(), leaseUntilMillis)
-                .whenCompleteAsync(
-                        (result, error) -> {
-                            if (countAtCall == link.incarnationCount()) {
-                                pendingOrders.remove(runId);
-                                onStartResult(order, result, error);
-                            }
-                        },
-                        loop);
+        // An order that has waited must not get a later token or lease than the dispatcher granted.
+        String instance = link.notice().instance();
+        long token = link.token();
+        queue.addStart(
+                runId,
+                () -> upstream.start(instance, order, token, leaseUntilMillis),
+                (result, error) -> onStartResult(order, result, error));
     }
 
     private void onStartResult(StartOrder order, OrderResult result, Throwable error) {
@@ -95,7 +107,10 @@
             return;
         }
         switch (result) {
-            case DONE -> link.addRunning(order);
+            case DONE -> {
+                link.addRunning(order);
+                reportStart();
+            }
             // The run will not start. A stop makes the upstream bar the run, so that the dispatcher
             // can end the run.
             case NO_ROOM, NO_TICKET, INVALID, SUPERSEDED ->
@@ -113,6 +128,15 @@
         }
     }
 
+    /** Informs the dispatcher of a started run, unless more starts follow at once. */
+    private void reportStart() {
+        unreportedStarts++;
+        if (unreportedStarts >= STARTS_PER_REPORT || !queue.startsWait()) {
+            unreportedStarts = 0;
+            link.reportChange();
+        }
+    }
+
     private void logOrder(
             String event, String task, int run, String boot, OrderResult result, Throwable error) {
         EventLog.event(event)
@@ -127,21 +151,15 @@
     /** Sends a stop order, unless it is obsolete or its result is awaited. */
     void stopRun(StopOrder order) {
         String runId = RunLists.runId(order.task(), order.run());
-        if (!link.isPresent(order.boot())
-                || stopped(runId)
-                || !pendingOrders.add("stop " + runId)) {
+        if (!link.isPresent(order.boot()) || stopped(runId)) {
             return;
         }
-        long countAtCall = link.incarnationCount();
-        upstream.stop(link.notice().instance(), order, link.token())
-                .whenCompleteAsync(
-                        (result, error) -> {
-                            if (countAtCall == link.incarnationCount()) {
-                                pendingOrders.remove("stop " + runId);
-                                onStopResult(order, result, error);
-                            }
-                        },
-                        loop);
+        String instance = link.notice().instance();
+        long token = link.token();
+        queue.addStop(
+                runId,
+                () -> upstream.stop(instance, order, token),
+                (result, error) -> onStopResult(order, result, error));
     }
 
     private void onStopResult(StopOrder order, OrderResult result, Throwable error) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/SchedulerInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/SchedulerInput.java
@@ -29,7 +29,10 @@
      * The priority of jobs whose queue is no longer configured. Higher numbers are lower
      * priorities.
      */
-    private static final int LOWEST_PRIORITY = Integer.MAX_VALUE;
+    static final int LOWEST_PRIORITY = Integer.MAX_VALUE;
+
+    /** The capacity into which not even a task without any need fits. */
+    private static final Resources NOTHING_FITS = new Resources(-1, -1, -1);
 
     /** The priority to which the guarantees of customers apply. */
     private static final int GUARANTEED_PRIORITY = 0;
@@ -91,7 +94,7 @@
                                 notice.service(),
                                 notice.rack(),
                                 new HashSet<>(notice.labels()),
-                                free,
+                                agent.fullOfRuns() ? NOTHING_FITS : free,
                                 free.plus(agent.stoppingResources()),
                                 agent.attainableCapacity(),
                                 agent.health().slowness(),
@@ -204,7 +207,15 @@
     }
 
     private int priority(WorkJob job) {
-        return queue(job).map(QueuePolicy::priority).orElse(LOWEST_PRIORITY);
+        return priority(fleet, job);
+    }
+
+    /** Returns the priority of a job, or the least urgent one if its queue is not configured. */
+    static int priority(FleetView fleet, WorkJob job) {
+        return fleet.configuration()
+                .queue(job.submission().queue())
+                .map(QueuePolicy::priority)
+                .orElse(LOWEST_PRIORITY);
     }
 
     /**
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -46,7 +48,11 @@
     private final Set<String> polledCandidates = new HashSet<>();
 
     private final RecentStarts recentStarts = new RecentStarts();
-    private List<RunStatus> running = List.of();
+    private List<RunStatus> running = new ArrayList<>();
+
+    /** The highest number among the runs of a task in {@link #running}, by task. */
+    private final Map<String, Integer> runningNumbers = new HashMap<>();
+
     private List<EndedRun> ended = List.of();
     private boolean allEndsListed;
     private long acknowledgedEndNumber;
@@ -200,6 +206,7 @@
         epoch = orders.epoch();
         if (newEpoch) {
             tracker.onNewEpoch();
+            runOrders.removeWaitingStarts();
             pollCandidates();
         }
         // The report and the orders must concern the present incarnation of the upstream.
@@ -223,7 +230,7 @@
         if (orders.leaseMillis() > 0 && upstreamClockAtSend > 0) {
             lease.extend(upstreamClockAtSend + orders.leaseMillis());
         }
-        runOrders.removeUnorderedStoppedRuns(orders);
+        runOrders.removeUnorderedRuns(orders);
         if (polledSinceBoot && lease.mustBeSent(clock.getAsLong())) {
             pollOnce(Duration.ZERO, () -> {}, () -> {});
         }
@@ -245,21 +252,22 @@
         return tracker.hasPresent() && boot.equals(tracker.notice().boot());
     }
 
-    /** Reports a started run, and adds it to the runs unless a run of its task is listed. */
+    /** Adds a started run to the runs unless a run of its task is listed. */
     void addRunning(StartOrder order) {
-        boolean listed =
-                running.stream()
-                        .anyMatch(r -> r.task().equals(order.task()) && r.run() >= order.run());
-        if (!listed) {
+        if (runningNumbers.getOrDefault(order.task(), 0) < order.run()) {
             // Full speed and no load are assumed until the next poll.
             RunStatus started =
                     new RunStatus(order.task(), order.run(), order.checkpoint(), 100, 0);
             recentStarts.add(started, pollCount);
-            List<RunStatus> updated = new ArrayList<>(running);
-            updated.add(started);
-            running = updated;
+            running.add(started);
+            runningNumbers.put(order.task(), order.run());
         }
-        onChange.run();
+    }
+
+    private void setRunning(List<RunStatus> newRunning) {
+        running = newRunning;
+        runningNumbers.clear();
+        running.forEach(status -> runningNumbers.merge(status.task(), status.run(), Math::max));
     }
 
     /**
@@ -467,7 +475,7 @@
     private void onIncarnationChanged(String bootBefore) {
         recentStarts.clear();
         doubt.clear();
-        running = List.of();
+        setRunning(new ArrayList<>());
         ended = List.of();
         allEndsListed = false;
         runOrders.reset();
@@ -490,7 +498,7 @@
         boolean runsChanged = !RunLists.runIds(existing).equals(RunLists.runIds(running));
         polledSinceBoot = true;
         lease.readClock(snapshot.clockMillis(), clock.getAsLong());
-        running = existing;
+        setRunning(existing);
         ended = snapshot.ended();
         allEndsListed = snapshot.allEndsListed();
         runOrders.onSnapshot(poll, allEndsListed);
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AcknowledgementAfterRestartTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AcknowledgementAfterRestartTest.java
@@ -43,7 +43,8 @@
         String boot = report.notice() == null ? "" : report.notice().boot();
         StartOrder order = new StartOrder(TASK, 1, firstBoot, "payload", "");
         long acknowledged = boot.equals(firstBoot) ? ACKNOWLEDGED : 0;
-        return new AgentOrders(1, 7_000, boot, acknowledged, List.of(order), List.of(), List.of());
+        return new AgentOrders(
+                1, 7_000, boot, acknowledged, List.of(order), List.of(), true, List.of());
     }
 
     @BeforeEach
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentIncarnationTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentIncarnationTest.java
@@ -67,6 +67,7 @@
                                             0,
                                             List.of(order),
                                             List.of(),
+                                            true,
                                             List.of())));
                 });
         entry.start();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentLeaseTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentLeaseTest.java
@@ -85,7 +85,7 @@
                     return CompletableFuture.completedFuture(
                             HttpServerResponse.json(
                                     new AgentOrders(
-                                            1, lease, "i-1@1", 0, List.of(), List.of(),
+                                            1, lease, "i-1@1", 0, List.of(), List.of(), true,
                                             List.of())));
                 });
         entry.start();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentReportLoopTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentReportLoopTest.java
@@ -37,7 +37,7 @@
         String boot = report.notice() == null ? "" : report.notice().boot();
         return CompletableFuture.completedFuture(
                 HttpServerResponse.json(
-                        new AgentOrders(1, 7_000, boot, 0, List.of(), List.of(), List.of())));
+                        new AgentOrders(1, 7_000, boot, 0, List.of(), List.of(), true, List.of())));
     }
 
     private static UpstreamNotice notice(UpstreamState state, long sequence) {
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentRunnerTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/AgentRunnerTest.java
@@ -53,7 +53,7 @@
                 call -> {
                     reports.incrementAndGet();
                     AgentOrders none =
-                            new AgentOrders(1, 0, "", 0, List.of(), List.of(), List.of());
+                            new AgentOrders(1, 0, "", 0, List.of(), List.of(), true, List.of());
                     return CompletableFuture.completedFuture(HttpServerResponse.json(none));
                 });
         entry.start();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/ManyEndsTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/ManyEndsTest.java
@@ -100,6 +100,7 @@
                                     0,
                                     List.of(),
                                     List.of(new StopOrder(lastTask, 1, "i-1@1")),
+                                    true,
                                     List.of()),
                             agent.link().notice(),
                             0);
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/RestartedUpstreamPollTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/RestartedUpstreamPollTest.java
@@ -55,7 +55,14 @@
                             .toList();
             link.applyOrders(
                     new AgentOrders(
-                            1, LEASE_MILLIS, boot, acknowledged, starts, List.of(), List.of()),
+                            1,
+                            LEASE_MILLIS,
+                            boot,
+                            acknowledged,
+                            starts,
+                            List.of(),
+                            true,
+                            List.of()),
                     link.notice(),
                     link.upstreamClockMillis(Clocks.monotonicMillis()));
             loop.advance(10);
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamLinkTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/UpstreamLinkTest.java
@@ -72,7 +72,7 @@
 
     private void applyOrders(String boot, UpstreamNotice reported) {
         link.applyOrders(
-                new AgentOrders(1, 7_000, boot, 0, List.of(), List.of(), List.of()),
+                new AgentOrders(1, 7_000, boot, 0, List.of(), List.of(), true, List.of()),
                 reported,
                 reported == null ? 0 : 1_000);
         loop.advance(0);
