Bound the work of a scheduling round by what can start

Cause: each round made a waiting unit of each step of each due occurrence (16,000), and computed the critical path of all 800 steps for each of them. The loop that does so also answers hello messages and reports, so that the other entry took the dispatcher for dead, claimed, and did the same.

Change: a round considers at most 512 waiting steps, and at least 4 of each job. Of a job that does not fit whole, the earliest steps are always considered and the others take turns; wait times go on meanwhile. A round that starts most of what it considers is followed by another, after the events that wait in the loop. A job counts the waiting and done tasks of each step as they change, where each round looked at all of them. Critical paths are kept until work is seen that changes them. A report with many ends checks and stores each job once. The histogram dispatcher.round-units shows the units of rounds.

--- a/fescueloom-core/src/main/java/org/fescueloom/work/WorkJob.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/work/WorkJob.java
@@ -1,7 +1,6 @@
 package org.fescueloom.work;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -32,10 +31,13 @@
     private final Set<TaskBlock> storedBlocks = new LinkedHashSet<>();
 
     /**
-     * The records of the tasks by occurrence, step and task index. An occurrence is missing before
-     * its first use and after its records were discarded.
+     * The records of the tasks by occurrence. An occurrence is missing before its first use and
+     * after its records were discarded.
      */
-    private final TreeMap<Integer, TaskRecord[][]> recordsByOccurrence = new TreeMap<>();
+    private final TreeMap<Integer, OccurrenceRecords> recordsByOccurrence = new TreeMap<>();
+
+    private final StepGraph graph;
+    private final long tasksPerOccurrence;
 
     private JobPhase phase = JobPhase.ACTIVE;
     private boolean started;
@@ -47,6 +49,9 @@
      */
     private int firstKeptOccurrence;
 
+    /** The value of {@link #firstKeptOccurrence} when obsolete blocks were last searched. */
+    private int searchedOccurrence;
+
     /**
      * Creates a job that was just submitted.
      *
@@ -54,6 +59,8 @@
      */
     public WorkJob(Submission submission) {
         this.submission = Objects.requireNonNull(submission, "submission");
+        graph = new StepGraph(submission.work().steps());
+        tasksPerOccurrence = submission.work().tasksPerOccurrence();
     }
 
     /**
@@ -105,12 +112,12 @@
     }
 
     private void restoreTasks(int occurrence, int step, int firstIndex, List<TaskRecord> tasks) {
-        TaskRecord[][] records = records(occurrence);
+        OccurrenceRecords records = records(occurrence);
         for (int i = 0; i < tasks.size(); i++) {
             TaskRecord task = Objects.requireNonNull(tasks.get(i), "task");
-            if (step < records.length && firstIndex + i < records[step].length) {
+            if (step < records.stepCount() && firstIndex + i < records.size(step)) {
                 boolean endless = submission.work().steps().get(step).endless();
-                records[step][firstIndex + i] = endless ? task.notDone() : task;
+                records.set(step, firstIndex + i, endless ? task.notDone() : task);
                 started |= task.phase() != TaskPhase.WAITING;
             }
         }
@@ -119,9 +126,9 @@
     private void markAssignedBlocksChanged() {
         recordsByOccurrence.forEach(
                 (occurrence, records) -> {
-                    for (int step = 0; step < records.length; step++) {
-                        for (int index = 0; index < records[step].length; index++) {
-                            if (records[step][index] != TaskRecord.NEW) {
+                    for (int step = 0; step < records.stepCount(); step++) {
+                        for (int index = 0; index < records.size(step); index++) {
+                            if (records.get(step, index) != TaskRecord.NEW) {
                                 markChanged(new TaskKey(submission.id(), occurrence, step, index));
                             }
                         }
@@ -142,8 +149,7 @@
      * @return whether {@link #progress()} leaves out the tasks
      */
     public boolean storedInBlocks() {
-        WorkSpec work = submission.work();
-        return work.tasksPerOccurrence() * work.occurrences() > TaskBlock.MAX_TASKS;
+        return tasksPerOccurrence * submission.work().occurrences() > TaskBlock.MAX_TASKS;
     }
 
     /**
@@ -167,6 +173,10 @@
      */
     public Set<TaskBlock> takeObsoleteBlocks() {
         boolean over = phase.ended() && !storedBlocks.isEmpty() && assignedTasks().isEmpty();
+        if (!over && searchedOccurrence == firstKeptOccurrence) {
+            return Set.of();
+        }
+        searchedOccurrence = firstKeptOccurrence;
         Set<TaskBlock> obsolete = new LinkedHashSet<>();
         for (TaskBlock block : storedBlocks) {
             if (over || block.occurrence() < firstKeptOccurrence) {
@@ -192,7 +202,7 @@
             return Collections.nCopies(
                     last - first, new TaskRecord(TaskPhase.DONE, 0, null, 0, ""));
         }
-        return List.of(records(block.occurrence())[block.step()]).subList(first, last);
+        return records(block.occurrence()).tasks(block.step()).subList(first, last);
     }
 
     /**
@@ -242,7 +252,7 @@
     public List<Integer> dueOccurrences(long nowMillis) {
         List<Integer> due = new ArrayList<>();
         WorkSpec work = submission.work();
-        long maxKept = Math.max(1, WorkSpec.MAX_TASKS / work.tasksPerOccurrence());
+        long maxKept = Math.max(1, WorkSpec.MAX_TASKS / tasksPerOccurrence);
         long end = Math.min(work.occurrences(), firstKeptOccurrence + maxKept);
         for (int occurrence = firstKeptOccurrence;
                 occurrence < end
@@ -280,7 +290,7 @@
      * @return an unmodifiable list of the tasks in order of their indexes, never null
      */
     public List<TaskRecord> tasks(int occurrence, int step) {
-        return Collections.unmodifiableList(List.of(records(occurrence)[step]));
+        return records(occurrence).tasks(step);
     }
 
     /**
@@ -291,7 +301,7 @@
      *     occurrence were discarded
      */
     public TaskRecord task(TaskKey key) {
-        return hasTask(key) ? records(key.occurrence())[key.step()][key.index()] : null;
+        return hasTask(key) ? records(key.occurrence()).get(key.step(), key.index()) : null;
     }
 
     /**
@@ -314,7 +324,7 @@
                             + " to "
                             + (submission.work().occurrences() - 1));
         }
-        records(key.occurrence())[key.step()][key.index()] = record;
+        records(key.occurrence()).set(key.step(), key.index(), record);
         markChanged(key);
         started |= record.phase() != TaskPhase.WAITING;
     }
@@ -327,12 +337,37 @@
      * @return whether every task of the steps that it depends on is done
      */
     public boolean isStepReady(int occurrence, int step) {
-        for (int before : submission.work().steps().get(step).after()) {
-            if (!isStepDone(occurrence, before)) {
-                return false;
-            }
-        }
-        return true;
+        return records(occurrence).isStepReady(step);
+    }
+
+    /**
+     * Tells whether the records of an occurrence are kept, or not needed yet.
+     *
+     * @param occurrence the number of the occurrence, from 0
+     * @return whether the records were not discarded
+     */
+    public boolean hasRecords(int occurrence) {
+        return occurrence >= firstKeptOccurrence;
+    }
+
+    /**
+     * Returns the number of tasks of a step that wait for a run.
+     *
+     * @param occurrence the number of the occurrence, one whose records were not discarded
+     * @param step the number of the step, from 0
+     * @return the number of waiting tasks
+     */
+    public int waitingTasks(int occurrence, int step) {
+        return records(occurrence).waitingTasks(step);
+    }
+
+    /**
+     * Tells whether a run of any task has failed, among the tasks whose records are kept.
+     *
+     * @return whether a task has a failed run
+     */
+    public boolean hasFailures() {
+        return recordsByOccurrence.values().stream().anyMatch(OccurrenceRecords::hasFailures);
     }
 
     /**
@@ -343,12 +378,7 @@
      * @return whether the step is done
      */
     public boolean isStepDone(int occurrence, int step) {
-        for (TaskRecord task : records(occurrence)[step]) {
-            if (task.phase() != TaskPhase.DONE) {
-                return false;
-            }
-        }
-        return true;
+        return records(occurrence).isStepDone(step);
     }
 
     /**
@@ -388,9 +418,9 @@
         List<TaskKey> keys = new ArrayList<>();
         recordsByOccurrence.forEach(
                 (occurrence, records) -> {
-                    for (int step = 0; step < records.length; step++) {
-                        for (int index = 0; index < records[step].length; index++) {
-                            if (records[step][index].phase() == TaskPhase.ASSIGNED) {
+                    for (int step = 0; step < records.stepCount(); step++) {
+                        for (int index = 0; index < records.size(step); index++) {
+                            if (records.get(step, index).phase() == TaskPhase.ASSIGNED) {
                                 keys.add(new TaskKey(submission.id(), occurrence, step, index));
                             }
                         }
@@ -424,19 +454,11 @@
         Map<Integer, List<List<TaskRecord>>> stored = new TreeMap<>();
         if (!storedInBlocks() && (!phase.ended() || !assignedTasks().isEmpty())) {
             recordsByOccurrence.forEach(
-                    (occurrence, records) -> stored.put(occurrence, toLists(records)));
+                    (occurrence, records) -> stored.put(occurrence, records.allTasks()));
         }
         return new JobProgress(phase, started, endedAtMillis, stored, firstKeptOccurrence);
     }
 
-    private static List<List<TaskRecord>> toLists(TaskRecord[][] records) {
-        List<List<TaskRecord>> lists = new ArrayList<>();
-        for (TaskRecord[] recordsOfStep : records) {
-            lists.add(List.of(recordsOfStep));
-        }
-        return lists;
-    }
-
     private boolean hasTask(TaskKey key) {
         List<StepSpec> steps = submission.work().steps();
         return key.occurrence() >= firstKeptOccurrence
@@ -450,28 +472,12 @@
             return true;
         }
         // No task of an occurrence without records was ever assigned.
-        if (!recordsByOccurrence.containsKey(occurrence)) {
-            return false;
-        }
-        for (int step = 0; step < submission.work().steps().size(); step++) {
-            if (!isStepDone(occurrence, step)) {
-                return false;
-            }
-        }
-        return true;
+        OccurrenceRecords records = recordsByOccurrence.get(occurrence);
+        return records != null && records.isDone();
     }
 
-    private TaskRecord[][] records(int occurrence) {
-        return recordsByOccurrence.computeIfAbsent(occurrence, number -> newRecords());
-    }
-
-    private TaskRecord[][] newRecords() {
-        List<StepSpec> steps = submission.work().steps();
-        TaskRecord[][] records = new TaskRecord[steps.size()][];
-        for (int step = 0; step < records.length; step++) {
-            records[step] = new TaskRecord[steps.get(step).count()];
-            Arrays.fill(records[step], TaskRecord.NEW);
-        }
-        return records;
+    private OccurrenceRecords records(int occurrence) {
+        return recordsByOccurrence.computeIfAbsent(
+                occurrence, number -> new OccurrenceRecords(submission.work().steps(), graph));
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
@@ -89,6 +89,17 @@
         return jobs;
     }
 
+    /** Returns the stored jobs that have not ended. */
+    List<WorkJob> activeJobs() {
+        List<WorkJob> active = new ArrayList<>();
+        for (WorkJob job : jobs.values()) {
+            if (!job.phase().ended() && storedStatuses.containsKey(job.submission().id())) {
+                active.add(job);
+            }
+        }
+        return active;
+    }
+
     /** Returns the stored status of each job, by identifier. */
     Map<String, JobStatus> storedStatuses() {
         return storedStatuses;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -68,6 +68,7 @@
     private final Set<String> storedCancellations;
     private final StuckRunStopper stuckRunStopper;
     private final WaitTimes waitTimes = new WaitTimes();
+    private final RoundSelection roundSelection = new RoundSelection();
     private final ScheduledExecutorService loop;
 
     /** The reservations of the last round, by the identifier of the waiting unit. */
@@ -332,6 +333,7 @@
             WorkJob job = state.jobs().remove(id);
             endSeenMillis.remove(id);
             runTracker.forgetJob(job);
+            roundSelection.forgetJob(id);
             state.storedStatuses().remove(id);
             job.takeObsoleteBlocks().forEach(block -> state.deleteBlock(id, block));
             // Empty values are tombstones, which delete the keys.
@@ -357,12 +359,8 @@
                         now,
                         state.wallClockMillis(),
                         state.jobs().values());
-        List<WaitingUnit> waiting = new ArrayList<>();
-        for (WorkJob job : state.jobs().values()) {
-            if (!job.phase().ended() && state.storedStatuses().containsKey(job.submission().id())) {
-                waiting.addAll(input.waitingUnits(job));
-            }
-        }
+        List<WaitingUnit> waiting = input.waitingUnits(state.activeJobs(), roundSelection);
+        state.metrics().registry().histogram("dispatcher.round-units").update(waiting.size());
         if (waiting.isEmpty()) {
             reservations = Map.of();
             return;
@@ -387,6 +385,10 @@
         plan.starts().forEach(start -> assign(start, now));
         preempt(plan.stops());
         state.writer().flush();
+        if (roundSelection.leavesOut() && 2 * plan.starts().size() >= waiting.size()) {
+            // Steps that this round has left out may find room too.
+            requestScheduling();
+        }
     }
 
     /**
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -37,6 +38,9 @@
     private final Map<String, StepEstimateError> estimateErrors = new HashMap<>();
     private final WorkSeen workSeen = new WorkSeen();
 
+    /** The jobs whose tasks have changed since their progress was last queued for storage. */
+    private final Set<WorkJob> changedJobs = new LinkedHashSet<>();
+
     RunTracker(DispatchState state, OrderIssuer orderIssuer) {
         this.state = state;
         this.orderIssuer = orderIssuer;
@@ -64,6 +68,7 @@
         if (notice.state() == UpstreamState.GONE && epochReceived) {
             endListedRuns(agent);
         }
+        saveChangedJobs();
         return agent.runs().size() < runsBefore;
     }
 
@@ -131,6 +136,7 @@
             }
         }
         if (hasNewEnds) {
+            saveChangedJobs();
             acknowledgeOnceStored(agent);
         }
         long polledMillis = now - report.lookAgeMillis();
@@ -214,6 +220,7 @@
         for (AssignedRun run : List.copyOf(agent.runs().values())) {
             endRun(agent, run, RunEnd.LAPSED, "", EndEvidence.LEASE_EXPIRED);
         }
+        saveChangedJobs();
     }
 
     private void endRun(
@@ -255,8 +262,16 @@
         if (spec.gang() && spec.endless() && end == RunEnd.DONE) {
             stopGang(job, run);
         }
-        endJobIfFinished(job);
-        state.saveJob(job);
+        changedJobs.add(job);
+    }
+
+    /** Ends the changed jobs that are finished, and stores the progress of all changed jobs. */
+    private void saveChangedJobs() {
+        for (WorkJob job : changedJobs) {
+            endJobIfFinished(job);
+            state.saveJob(job);
+        }
+        changedJobs.clear();
     }
 
     private static String gangRunId(AssignedRun run) {
@@ -411,7 +426,7 @@
         }
         if (job.discardDoneOccurrences()) {
             endJob(job, JobPhase.SUCCEEDED);
-        } else if (maxFailedRunsReached(job)) {
+        } else if (job.hasFailures() && maxFailedRunsReached(job)) {
             endJob(job, JobPhase.FAILED);
         }
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/SchedulerInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/SchedulerInput.java
@@ -126,25 +126,63 @@
                 && monotonicMillis - agent.lastReportMillis() < timings.maxReportAgeMillis();
     }
 
-    /** Returns the units of a job that are due and ready to start. */
-    List<WaitingUnit> waitingUnits(WorkJob job) {
-        List<WaitingUnit> units = new ArrayList<>();
-        Submission submission = job.submission();
-        for (int occurrence : job.dueOccurrences(wallClockMillis)) {
-            for (int step = 0; step < submission.work().steps().size(); step++) {
-                if (job.isStepReady(occurrence, step)) {
-                    waitingUnit(job, occurrence, step).ifPresent(units::add);
-                }
+    /** Returns the units that a round considers, of those that are due and ready to start. */
+    List<WaitingUnit> waitingUnits(List<WorkJob> activeJobs, RoundSelection selection) {
+        Map<WorkJob, List<WaitingStep>> stepsByJob = new LinkedHashMap<>();
+        for (WorkJob job : activeJobs) {
+            List<WaitingStep> steps = waitingSteps(job);
+            if (!steps.isEmpty()) {
+                stepsByJob.put(job, steps);
             }
         }
+        selection.beginRound(stepsByJob.values().stream().map(List::size).toList());
+        List<WaitingUnit> units = new ArrayList<>();
+        stepsByJob.forEach(
+                (job, steps) -> {
+                    String id = job.submission().id();
+                    List<WaitingStep> selected = selection.select(id, steps);
+                    selected.forEach(step -> units.add(waitingUnit(job, step)));
+                    if (selected.size() < steps.size()) {
+                        waitTimes.keepSteps(id, step -> waits(job, step));
+                    }
+                });
         return units;
     }
 
     /**
-     * Returns the waiting unit of a step; empty if no task waits, or if tasks of a gang do not
-     * wait.
+     * Returns the steps of a job that are due and ready to start, in the order of their occurrences
+     * and numbers.
      */
-    private Optional<WaitingUnit> waitingUnit(WorkJob job, int occurrence, int step) {
+    private List<WaitingStep> waitingSteps(WorkJob job) {
+        List<WaitingStep> waiting = new ArrayList<>();
+        int steps = job.submission().work().steps().size();
+        for (int occurrence : job.dueOccurrences(wallClockMillis)) {
+            for (int step = 0; step < steps; step++) {
+                WaitingStep waitingStep = new WaitingStep(occurrence, step);
+                if (waits(job, waitingStep)) {
+                    waiting.add(waitingStep);
+                }
+            }
+        }
+        return waiting;
+    }
+
+    /** Tests whether tasks of a step can start; those of a gang must all wait. */
+    private static boolean waits(WorkJob job, WaitingStep step) {
+        if (!job.hasRecords(step.occurrence())) {
+            return false;
+        }
+        StepSpec spec = job.submission().work().steps().get(step.step());
+        int waiting = job.waitingTasks(step.occurrence(), step.step());
+        return waiting > 0
+                && (!spec.gang() || waiting == spec.count())
+                && job.isStepReady(step.occurrence(), step.step());
+    }
+
+    /** Returns the unit of a waiting step. */
+    private WaitingUnit waitingUnit(WorkJob job, WaitingStep waitingStep) {
+        int occurrence = waitingStep.occurrence();
+        int step = waitingStep.step();
         StepSpec spec = job.submission().work().steps().get(step);
         List<TaskRecord> tasks = job.tasks(occurrence, step);
         List<Integer> waitingTasks = new ArrayList<>();
@@ -158,10 +196,6 @@
                 runsPerUpstream.merge(agentByTask.getOrDefault(key, ""), 1, Integer::sum);
             }
         }
-        boolean gangPartlyAssigned = spec.gang() && waitingTasks.size() < tasks.size();
-        if (waitingTasks.isEmpty() || gangPartlyAssigned) {
-            return Optional.empty();
-        }
         Optional<QueuePolicy> queue = queue(job);
         Submission submission = job.submission();
         long dueMillis =
@@ -172,38 +206,24 @@
         long objectiveMillis =
                 dueMillis
                         + sloAllowanceMillis
-                        + (long) (slackFactor * criticalPathMillis(submission));
-        return Optional.of(
-                new WaitingUnit(
-                        submission.id(),
-                        occurrence,
-                        step,
-                        waitingTasks,
-                        spec,
-                        queue.map(QueuePolicy::service).orElse(submission.service()),
-                        submission.customer(),
-                        priority(job),
-                        Prospect.of(
-                                dueMillis,
-                                objectiveMillis,
-                                wallClockMillis + spec.estimateMillis()),
-                        objectiveMillis,
-                        Math.max(0, wallClockMillis - dueMillis),
-                        waitTimes.recordWait(
-                                StepIds.occurrenceStepId(submission.id(), occurrence, step),
-                                monotonicMillis),
-                        withinGuarantee(job),
-                        slackFactor,
-                        failedAgentsByStep.getOrDefault(
-                                StepIds.stepId(submission.id(), step), Set.of()),
-                        runsPerUpstream));
-    }
-
-    private long criticalPathMillis(Submission submission) {
-        List<StepSpec> steps = submission.work().steps();
-        return submission
-                .work()
-                .criticalPathMillis(i -> workSeen.estimateMillis(submission.id(), i, steps.get(i)));
+                        + (long) (slackFactor * workSeen.criticalPathMillis(submission));
+        return new WaitingUnit(
+                submission.id(),
+                occurrence,
+                step,
+                waitingTasks,
+                spec,
+                queue.map(QueuePolicy::service).orElse(submission.service()),
+                submission.customer(),
+                priority(job),
+                Prospect.of(dueMillis, objectiveMillis, wallClockMillis + spec.estimateMillis()),
+                objectiveMillis,
+                Math.max(0, wallClockMillis - dueMillis),
+                waitTimes.recordWait(submission.id(), waitingStep, monotonicMillis),
+                withinGuarantee(job),
+                slackFactor,
+                failedAgentsByStep.getOrDefault(StepIds.stepId(submission.id(), step), Set.of()),
+                runsPerUpstream);
     }
 
     private int priority(WorkJob job) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/WorkSeen.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/WorkSeen.java
@@ -1,8 +1,10 @@
 package org.fescueloom.daemon.dispatch;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.fescueloom.work.StepSpec;
+import org.fescueloom.work.Submission;
 import org.fescueloom.work.TaskKey;
 
 /**
@@ -13,8 +15,13 @@
     /** Estimates are too low by a factor of up to four; longer work had another cause. */
     private static final int MAX_ESTIMATE_FACTOR = 4;
 
-    private final Map<TaskKey, Long> millisByTask = new HashMap<>();
-    private final Map<String, Long> longestByStep = new HashMap<>();
+    private final Map<String, Map<TaskKey, Long>> millisByJob = new HashMap<>();
+
+    /** The longest work of a task by step, by job. */
+    private final Map<String, Map<Integer, Long>> longestByJob = new HashMap<>();
+
+    /** The critical paths that were computed since work was last recorded for their jobs. */
+    private final Map<String, Long> criticalPaths = new HashMap<>();
 
     /**
      * Records a run that was interrupted. The work of earlier runs counts too if the step saves
@@ -26,8 +33,13 @@
      */
     void recordInterruptedRun(TaskKey task, StepSpec spec, long millis) {
         long seen =
-                millisByTask.merge(task, millis, spec.checkpoints() ? Math::addExact : Math::max);
-        longestByStep.merge(stepId(task.job(), task.step()), seen, Math::max);
+                millisByJob
+                        .computeIfAbsent(task.job(), job -> new HashMap<>())
+                        .merge(task, millis, spec.checkpoints() ? Math::addExact : Math::max);
+        longestByJob
+                .computeIfAbsent(task.job(), job -> new HashMap<>())
+                .merge(task.step(), seen, Math::max);
+        criticalPaths.remove(task.job());
     }
 
     /**
@@ -36,17 +48,27 @@
      */
     long estimateMillis(String job, int step, StepSpec spec) {
         long estimate = spec.estimateMillis();
-        long seen = longestByStep.getOrDefault(stepId(job, step), 0L);
+        long seen = longestByJob.getOrDefault(job, Map.of()).getOrDefault(step, 0L);
         return Math.max(estimate, Math.min(seen, MAX_ESTIMATE_FACTOR * estimate));
     }
 
-    /** Removes what was recorded for a job. */
-    void forgetJob(String job) {
-        millisByTask.keySet().removeIf(task -> task.job().equals(job));
-        longestByStep.keySet().removeIf(step -> step.startsWith(job + '.'));
+    /** Returns the estimated run time of the critical path of a job, in milliseconds. */
+    long criticalPathMillis(Submission submission) {
+        return criticalPaths.computeIfAbsent(
+                submission.id(), id -> computeCriticalPathMillis(submission));
     }
 
-    private static String stepId(String job, int step) {
-        return StepIds.stepId(job, step);
+    private long computeCriticalPathMillis(Submission submission) {
+        List<StepSpec> steps = submission.work().steps();
+        return submission
+                .work()
+                .criticalPathMillis(i -> estimateMillis(submission.id(), i, steps.get(i)));
+    }
+
+    /** Removes what was recorded for a job. */
+    void forgetJob(String job) {
+        millisByJob.remove(job);
+        longestByJob.remove(job);
+        criticalPaths.remove(job);
     }
 }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherBed.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherBed.java
@@ -37,6 +37,7 @@
     private final FleetView fleet =
             new FleetView(new FleetConfiguration(1, List.of(QUEUE), List.of()), Set.of(), 0);
 
+    private final Metrics metrics = new Metrics();
     private final int intakePartitions;
 
     /** Creates a bed with one partition of the intake log. */
@@ -52,6 +53,11 @@
         return log;
     }
 
+    /** Returns the metrics of all dispatchers of this bed. */
+    Metrics metrics() {
+        return metrics;
+    }
+
     ManualScheduler loop() {
         return loop;
     }
@@ -72,7 +78,7 @@
                         loop.logServiceContact(),
                         () -> fleet,
                         () -> List.of("here"),
-                        new Metrics(),
+                        metrics,
                         () -> {});
         dispatcher.start();
         return dispatcher;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FakeAgent.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/FakeAgent.java
@@ -77,6 +77,11 @@
         return orders;
     }
 
+    /** Reports until all orders that stand have been received. */
+    void exchangeAll(Dispatcher dispatcher) {
+        while (!exchange(dispatcher).complete()) {}
+    }
+
     /** Starts the upstream again under its identifier; it has no runs and no ends. */
     void restartUpstream() {
         bornMillis++;
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeJobTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeJobTest.java
@@ -95,7 +95,7 @@
             Dispatcher dispatcher = claimWithLimits();
             bed.submit(dispatcher, job("wide", wideWork()));
             for (int step = 0; step < 3; step++) {
-                agent.exchange(dispatcher);
+                agent.exchangeAll(dispatcher);
                 assertThat(agent.running).hasSize(WIDE_STEP_TASKS);
                 dispatcher = bed.claim();
                 assertThat(agent.exchange(dispatcher).starts()).isEmpty();
@@ -113,7 +113,7 @@
             Dispatcher dispatcher = claimWithLimits();
             bed.submit(dispatcher, job("wide", wideWork()));
             for (int step = 0; step < 3; step++) {
-                agent.exchange(dispatcher);
+                agent.exchangeAll(dispatcher);
                 endAll(RunEnd.DONE);
                 agent.exchange(dispatcher);
             }
