Keep what an upstream has listed in a class of its own

ListedRuns holds the runs and ends of the last answer to a poll, and the runs that were started since. No behaviour changes.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/UpstreamLink.java
@@ -1,11 +1,8 @@
 package org.fescueloom.daemon.dispatch;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -47,14 +44,7 @@
     /** The boot IDs of the candidates whose poll is in progress. */
     private final Set<String> polledCandidates = new HashSet<>();
 
-    private final RecentStarts recentStarts = new RecentStarts();
-    private List<RunStatus> running = new ArrayList<>();
-
-    /** The highest number among the runs of a task in {@link #running}, by task. */
-    private final Map<String, Integer> runningNumbers = new HashMap<>();
-
-    private List<EndedRun> ended = List.of();
-    private boolean allEndsListed;
+    private final ListedRuns listedRuns = new ListedRuns();
     private long acknowledgedEndNumber;
     private long epoch;
     private long pollCount;
@@ -110,9 +100,9 @@
                 tracker.notice(),
                 polledSinceBoot,
                 lease.clockAgeMillis(nowMillis),
-                running,
-                ended,
-                allEndsListed,
+                listedRuns.running(),
+                listedRuns.ended(),
+                listedRuns.allEndsListed(),
                 runOrders.barredRuns());
     }
 
@@ -136,12 +126,12 @@
 
     /** Tests whether the last poll listed a run as running or ended. */
     boolean lists(String task, int run) {
-        return RunLists.contain(running, ended, task, run);
+        return listedRuns.contain(task, run);
     }
 
     /** Returns the runs that the last poll listed as running or ended, as "TASK#RUN". */
     Set<String> listedRunIds() {
-        return RunLists.runIds(running, ended);
+        return listedRuns.runIds();
     }
 
     /** Returns the number of the last poll that was sent. */
@@ -178,7 +168,12 @@
         UpstreamTracker.DeregistrationEffect effect =
                 tracker.onDeregistration(instance, bornMillis, clock.getAsLong());
         UpstreamEvents.deregistered(
-                instance, bornMillis, presentBoot(), effect, pollAgeMillis(), running.size());
+                instance,
+                bornMillis,
+                presentBoot(),
+                effect,
+                pollAgeMillis(),
+                listedRuns.running().size());
         if (effect == UpstreamTracker.DeregistrationEffect.PRESENT_LEAVES) {
             onChange.run();
             pollNow();
@@ -223,7 +218,7 @@
             return;
         }
         acknowledgedEndNumber = Math.max(acknowledgedEndNumber, orders.acknowledged());
-        if (!allEndsListed && listedAcknowledgedEndNumber() > 0) {
+        if (!listedRuns.allEndsListed() && listedAcknowledgedEndNumber() > 0) {
             // The next page of ends is listed once this one is acknowledged.
             pollNow();
         }
@@ -254,20 +249,7 @@
 
     /** Adds a started run to the runs unless a run of its task is listed. */
     void addRunning(StartOrder order) {
-        if (runningNumbers.getOrDefault(order.task(), 0) < order.run()) {
-            // Full speed and no load are assumed until the next poll.
-            RunStatus started =
-                    new RunStatus(order.task(), order.run(), order.checkpoint(), 100, 0);
-            recentStarts.add(started, pollCount);
-            running.add(started);
-            runningNumbers.put(order.task(), order.run());
-        }
-    }
-
-    private void setRunning(List<RunStatus> newRunning) {
-        running = newRunning;
-        runningNumbers.clear();
-        running.forEach(status -> runningNumbers.merge(status.task(), status.run(), Math::max));
+        listedRuns.addStarted(order, pollCount);
     }
 
     /**
@@ -281,13 +263,14 @@
         }
         polling = true;
         // A doubt is settled at once, since it holds back starts and the lease.
-        boolean waits = ended.isEmpty() && polledSinceBoot && !doubt.open();
+        boolean waits = listedRuns.ended().isEmpty() && polledSinceBoot && !doubt.open();
         Duration wait = waits ? POLL_WAIT : Duration.ZERO;
         pollOnce(
                 wait,
                 () -> {
                     polling = false;
-                    long pause = ended.isEmpty() ? 1 : UNACKNOWLEDGED_ENDS_PAUSE_MILLIS;
+                    long pause =
+                            listedRuns.ended().isEmpty() ? 1 : UNACKNOWLEDGED_ENDS_PAUSE_MILLIS;
                     loop.schedule(this::pollContinuously, pause, TimeUnit.MILLISECONDS);
                 },
                 () -> {
@@ -346,17 +329,8 @@
                         loop);
     }
 
-    /**
-     * Returns the number up to which the upstream may forget the ends that it has listed; 0 if
-     * none. Each incarnation numbers its ends anew, so a number that is no longer needed could make
-     * the next one forget ends that nobody has seen.
-     */
     private long listedAcknowledgedEndNumber() {
-        return ended.stream()
-                .mapToLong(EndedRun::number)
-                .filter(number -> number <= acknowledgedEndNumber)
-                .max()
-                .orElse(0);
+        return listedRuns.listedEndNumber(acknowledgedEndNumber);
     }
 
     private void applyAnswer(UpstreamSnapshot snapshot, long poll) {
@@ -396,7 +370,8 @@
     }
 
     private void onUpstreamEnded(String evidence) {
-        UpstreamEvents.departed(presentBoot(), evidence, pollAgeMillis(), running.size());
+        UpstreamEvents.departed(
+                presentBoot(), evidence, pollAgeMillis(), listedRuns.running().size());
         incarnationCount++;
         polling = false;
         immediatePollPending = false;
@@ -473,11 +448,8 @@
     }
 
     private void onIncarnationChanged(String bootBefore) {
-        recentStarts.clear();
+        listedRuns.clear();
         doubt.clear();
-        setRunning(new ArrayList<>());
-        ended = List.of();
-        allEndsListed = false;
         runOrders.reset();
         acknowledgedEndNumber = 0;
         lease.reset();
@@ -490,19 +462,12 @@
     }
 
     private void applySnapshot(UpstreamSnapshot snapshot, long poll) {
-        List<RunStatus> existing = recentStarts.addTo(snapshot, poll);
-        boolean endsChanged =
-                !polledSinceBoot
-                        || !RunLists.endNumbers(snapshot.ended())
-                                .equals(RunLists.endNumbers(ended));
-        boolean runsChanged = !RunLists.runIds(existing).equals(RunLists.runIds(running));
+        boolean firstSnapshot = !polledSinceBoot;
         polledSinceBoot = true;
         lease.readClock(snapshot.clockMillis(), clock.getAsLong());
-        setRunning(existing);
-        ended = snapshot.ended();
-        allEndsListed = snapshot.allEndsListed();
-        runOrders.onSnapshot(poll, allEndsListed);
-        if (endsChanged || runsChanged) {
+        boolean changed = listedRuns.replace(snapshot, poll);
+        runOrders.onSnapshot(poll, listedRuns.allEndsListed());
+        if (firstSnapshot || changed) {
             onChange.run();
         }
     }
