--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AgentView.java
@@ -15,6 +15,12 @@
 
 /** Holds the state that the dispatcher tracks for one agent and its upstream. */
 final class AgentView {
+    /**
+     * An upstream with this many runs gets no more single tasks. A report lists all runs, and the
+     * servers of the system accept bodies of up to 1 MiB.
+     */
+    static final int MAX_RUNS = 4_096;
+
     /**
      * The maximum age of the last successful poll. A poll waits for up to a second, so a greater
      * age means that the upstream does not respond.
@@ -27,12 +33,6 @@
      */
     private static final long MAX_NOTICE_AGE_MILLIS = 10_000;
 
-    /**
-     * An upstream with this many runs gets no more single tasks. A report lists all runs, and the
-     * servers of the system accept bodies of up to 1 MiB.
-     */
-    static final int MAX_RUNS = 4_096;
-
     private final String name;
     private final Map<String, AssignedRun> runs = new LinkedHashMap<>();
     private final UpstreamHealth health = new UpstreamHealth();
