Send the requests beyond the slots once all slots are taken

The test sent ten requests from ten threads to eight slots, each run of 0.5 s or less, and took for granted that the last thread starts within that time. It now waits until eight runs have begun, and asserts on both refusals, both records and the eight answers. That the load delayed a thread is read from the test, not shown.

--- a/fescueloom-standins/src/test/java/org/fescueloom/standins/upstream/UpstreamStandInTest.java
+++ b/fescueloom-standins/src/test/java/org/fescueloom/standins/upstream/UpstreamStandInTest.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import okhttp3.Headers;
 import org.fescueloom.standins.Fault;
@@ -17,6 +19,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -70,16 +73,21 @@
         }
 
         @Test
-        void refuseAndRecordRequestsBeyondTheSlots() {
-            upstream.speed(0.1);
-            int requestCount = UpstreamProfile.DEFAULT_SLOTS + 2;
-            CompletableFuture<?>[] statuses = new CompletableFuture<?>[requestCount];
-            for (int i = 0; i < requestCount; i++) {
-                statuses[i] = sendForStatus("r" + i);
+        @Timeout(60)
+        void refuseAndRecordRequestsBeyondTheSlots() throws InterruptedException {
+            upstream.speed(0.01);
+            List<CompletableFuture<Integer>> statuses = new ArrayList<>();
+            for (int i = 0; i < UpstreamProfile.DEFAULT_SLOTS; i++) {
+                statuses.add(sendForStatus("r" + i));
+            }
+            // The requests beyond the slots are sent once all slots are taken.
+            while (upstream.records().runs().size() < UpstreamProfile.DEFAULT_SLOTS) {
+                Thread.sleep(10);
             }
-            CompletableFuture.allOf(statuses).join();
-            assertThat(statuses).filteredOn(f -> f.join().equals(503)).hasSize(2);
+            assertThat(sendForStatus("late1").join()).isEqualTo(503);
+            assertThat(sendForStatus("late2").join()).isEqualTo(503);
             assertThat(upstream.records().violations()).hasSize(2);
+            assertThat(statuses).allMatch(status -> status.join().equals(200));
         }
     }
 
