Report started runs also if the last starts of several fail

Cause: while starts wait, an agent reports once for 200 of them or when none waits any more, but only after a start that succeeded. If the last ones failed, the runs before them stayed unreported until the next report, up to a second later. Found on reading the change. Now each result is followed by the report that is due. LargeReplyTest#reportsStartedRunsAlsoIfTheLastStartsFail failed with the condition as it was.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunOrders.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunOrders.java
@@ -97,7 +97,10 @@
         queue.addStart(
                 runId,
                 () -> upstream.start(instance, order, token, leaseUntilMillis),
-                (result, error) -> onStartResult(order, result, error));
+                (result, error) -> {
+                    onStartResult(order, result, error);
+                    reportStarts();
+                });
     }
 
     private void onStartResult(StartOrder order, OrderResult result, Throwable error) {
@@ -109,7 +112,7 @@
         switch (result) {
             case DONE -> {
                 link.addRunning(order);
-                reportStart();
+                unreportedStarts++;
             }
             // The run will not start. A stop makes the upstream bar the run, so that the dispatcher
             // can end the run.
@@ -128,10 +131,10 @@
         }
     }
 
-    /** Informs the dispatcher of a started run, unless more starts follow at once. */
-    private void reportStart() {
-        unreportedStarts++;
-        if (unreportedStarts >= STARTS_PER_REPORT || !queue.startsWait()) {
+    /** Informs the dispatcher of started runs, unless more starts follow at once. */
+    private void reportStarts() {
+        boolean lastOfSeveral = unreportedStarts > 0 && !queue.startsWait();
+        if (lastOfSeveral || unreportedStarts >= STARTS_PER_REPORT) {
             unreportedStarts = 0;
             link.reportChange();
         }
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeReplyTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LargeReplyTest.java
@@ -141,9 +141,14 @@
         private final ManualScheduler loop = new ManualScheduler();
         private final Map<String, CompletableFuture<OrderResult>> calls = new HashMap<>();
         private final List<Long> tokens = new ArrayList<>();
+        private int changes;
         private final UpstreamLink link =
                 new UpstreamLink(
-                        new WaitingUpstream(), loop, loop::nowMillis, new Metrics(), () -> {});
+                        new WaitingUpstream(),
+                        loop,
+                        loop::nowMillis,
+                        new Metrics(),
+                        () -> changes++);
 
         /** Answers polls at once, and orders only when the test completes them. */
         private final class WaitingUpstream implements UpstreamControl {
@@ -227,6 +232,20 @@
             assertThat(calls).containsKey("stop a.0.0.99");
         }
 
+        @Test
+        void reportsStartedRunsAlsoIfTheLastStartsFail() {
+            connect();
+            apply(1, true, OrderQueue.MAX_CALLS + 1, List.of());
+            int changesBefore = changes;
+            calls.get("a.0.0.0").complete(OrderResult.DONE);
+            loop.advance(1);
+            calls.values().forEach(call -> call.complete(OrderResult.BUSY));
+            loop.advance(1);
+
+            assertThat(changes).isGreaterThan(changesBefore);
+            assertThat(link.report("a", "p", 1, 0).running()).hasSize(1);
+        }
+
         // A run whose order was withdrawn may have begun elsewhere.
         @Test
         void sendsNoStartThatWaitsOnceItIsWithdrawn() {
