--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundSelection.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RoundSelection.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * Selects the waiting steps that a scheduling round considers. The work of a round so depends on
- * the number of waiting jobs, and not on the number of their steps and occurrences.
+ * Selects the waiting steps that a scheduling round plans. Planning then grows with the number of
+ * waiting jobs, not with the number of their steps and occurrences.
  *
  * <p>Of a job that does not fit whole, a quarter of its share goes to the earliest steps. The other
  * steps take turns over the rounds, so that steps which fit nowhere do not hold up the others.
