--- a/fescueloom-core/src/test/java/org/fescueloom/length/RunLengthModelTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/length/RunLengthModelTest.java
@@ -64,6 +64,21 @@
             assertThat(calibration.shareByNineTenths()).isCloseTo(0.9, within(TOLERANCE));
         }
 
+        /** The length is 0.1 to 1.9 times the estimate, instead of the reverse. */
+        @ParameterizedTest
+        @CsvSource({"0.3", "0.5"})
+        void areMetByEstimatesThatAreUpToTenTimesTooLong(double spread) {
+            DrawnRuns runs = runs(15);
+            for (int i = 0; i < 3_000; i++) {
+                double length = runs.lengthWithTail(14_500, spread);
+                runs.end(KIND, Math.round(length / (0.1 + 1.8 * runs.uniform())), length);
+            }
+
+            Calibration calibration = runs.model.calibration();
+            assertThat(calibration.shareByHalf()).isCloseTo(0.5, within(TOLERANCE));
+            assertThat(calibration.shareByNineTenths()).isCloseTo(0.9, within(TOLERANCE));
+        }
+
         @ParameterizedTest
         @CsvSource({"0.3", "0.5"})
         void areMetWithoutEstimates(double spread) {
