Count the work of runs that end without a result, by cause

Each request to stop a run now names its cause, and the first one is kept until the run ends; without a request the cause follows from the end. RunEndRecorder writes the event run-ended with the fields cause and lost, adds the loss to the account, shows the gauges lost-work.CAUSE, and writes the event lost-work at most once a minute. The reasons of StuckRunStopper become the enum StopReason with the same texts. No decision depends on the account.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
@@ -1,5 +1,8 @@
 package org.fescueloom.daemon.dispatch;
 
+import java.util.Objects;
+import java.util.Optional;
+import org.fescueloom.loss.LossCause;
 import org.fescueloom.schedule.CheckpointPace;
 import org.fescueloom.work.Resources;
 import org.fescueloom.work.StepSpec;
@@ -7,6 +10,8 @@
 
 /** Tracks one run from its assignment to an agent until its end is reported. */
 final class AssignedRun {
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
     private final TaskKey task;
     private final int number;
     private final StepSpec spec;
@@ -15,7 +20,9 @@
     private boolean stored;
     private boolean restored;
     private boolean listed;
-    private boolean stopRequested;
+
+    /** Why the stop was requested first; null if it was not. */
+    private LossCause stopCause;
 
     /** Before the first order: half of the minimum, so that time differences do not overflow. */
     private long orderSentMillis = Long.MIN_VALUE / 2;
@@ -136,17 +143,42 @@
     }
 
     boolean stopRequested() {
-        return stopRequested;
+        return stopCause != null;
     }
 
-    void requestStop() {
-        if (!stopRequested) {
-            stopRequested = true;
+    /** Returns why the stop was requested first; empty if it was not. */
+    Optional<LossCause> stopCause() {
+        return Optional.ofNullable(stopCause);
+    }
+
+    /** Requests the stop of the run. A later request changes nothing, not even the cause. */
+    void requestStop(LossCause cause) {
+        Objects.requireNonNull(cause, "cause");
+        if (stopCause == null) {
+            stopCause = cause;
             // A start order that was just sent must not delay the stop order.
             orderSentMillis = Long.MIN_VALUE / 2;
         }
     }
 
+    /**
+     * Returns the work that is lost if the run ends without a result, in core-seconds: the
+     * resources of the run for the time since its last checkpoint, or since the upstream first
+     * listed the run if its step saves none. Returns 0 if the upstream has not listed the run, and
+     * for an endless step, whose work has its effect while it runs. A checkpoint that the end names
+     * and no poll has listed counts as saved at the end.
+     *
+     * @param endCheckpoint the checkpoint that the end names; empty if there is none
+     */
+    double lossCoreSeconds(String endCheckpoint, long nowMillis) {
+        boolean savedAtEnd = !endCheckpoint.isEmpty() && !endCheckpoint.equals(checkpoint);
+        if (!listed || spec.endless() || spec.checkpoints() && savedAtEnd) {
+            return 0;
+        }
+        long since = spec.checkpoints() ? lastProgressMillis() : firstListedMillis;
+        return resources().cores() * Math.max(0, nowMillis - since) / MILLIS_PER_SECOND;
+    }
+
     /** Tests whether an order for the run was sent within the last {@code millis} milliseconds. */
     boolean orderSentWithin(long millis, long nowMillis) {
         return nowMillis - orderSentMillis < millis;
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/DispatchState.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.fescueloom.daemon.metrics.Metrics;
+import org.fescueloom.loss.LossCause;
 import org.fescueloom.schedule.UpstreamSpeed;
 import org.fescueloom.work.JobStatus;
 import org.fescueloom.work.StepSpec;
@@ -210,7 +211,7 @@
                                 key, task.run(), task.placement().boot(), stepOf(job, key), false);
                 run.markRestored();
                 if (job.phase().ended()) {
-                    run.requestStop();
+                    run.requestStop(LossCause.CANCELLED);
                 }
                 agent(task.placement().agent()).runs().put(key.toString(), run);
             }
@@ -221,11 +222,11 @@
      * Requests the stop of all runs that meet a condition. The agents receive the stop orders in
      * the next replies to their reports.
      */
-    void requestStops(Predicate<AssignedRun> condition) {
+    void requestStops(LossCause cause, Predicate<AssignedRun> condition) {
         for (AgentView agent : agents.values()) {
             for (AssignedRun run : agent.runs().values()) {
                 if (condition.test(run)) {
-                    run.requestStop();
+                    run.requestStop(cause);
                 }
             }
         }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -15,6 +15,7 @@
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
+import org.fescueloom.loss.LossCause;
 import org.fescueloom.schedule.Assignment;
 import org.fescueloom.schedule.FleetCoverage;
 import org.fescueloom.schedule.RoundContext;
@@ -63,6 +64,7 @@
 
     private final DispatchState state;
     private final OrderIssuer orderIssuer;
+    private final RunEndRecorder runEnds;
     private final RunTracker runTracker;
     private final JobIntake intake;
     private final Set<String> storedCancellations;
@@ -134,7 +136,8 @@
                         writer,
                         metrics);
         orderIssuer = new OrderIssuer(state, entries);
-        runTracker = new RunTracker(state, orderIssuer);
+        runEnds = new RunEndRecorder(state);
+        runTracker = new RunTracker(state, orderIssuer, runEnds);
         intake = new JobIntake(state, runTracker, log, loop, this::requestScheduling);
         stuckRunStopper = new StuckRunStopper(state);
         storedCancellations = initialState.storedState().cancellations();
@@ -290,6 +293,7 @@
         }
         intake.removeProcessedIfDue(now);
         removeOldJobs();
+        runEnds.takeLossEvent(now).ifPresent(EventLog::info);
         scheduleTasks();
         state.writer().flush();
         state.agents().values().forEach(orderIssuer::completeParkedIfDue);
@@ -303,7 +307,7 @@
             // started, and the stop makes sure that the run never starts.
             for (AssignedRun run : agent.runs().values()) {
                 if (!run.listed()) {
-                    run.requestStop();
+                    run.requestStop(LossCause.UPSTREAM_LEAVING);
                 }
             }
         }
@@ -466,7 +470,8 @@
             logPreempted(unit);
             unitIds.add(unit.id());
         }
-        state.requestStops(run -> unitIds.contains(state.gangOrTaskId(run.task())));
+        state.requestStops(
+                LossCause.PREEMPTED, run -> unitIds.contains(state.gangOrTaskId(run.task())));
         state.agents().values().forEach(orderIssuer::completeParkedIfDue);
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -12,6 +12,7 @@
 import org.fescueloom.fleet.UpstreamNotice;
 import org.fescueloom.fleet.UpstreamState;
 import org.fescueloom.json.Json;
+import org.fescueloom.loss.LossCause;
 import org.fescueloom.schedule.StepEstimateError;
 import org.fescueloom.work.JobPhase;
 import org.fescueloom.work.RunEnd;
@@ -33,6 +34,7 @@
 
     private final DispatchState state;
     private final OrderIssuer orderIssuer;
+    private final RunEndRecorder runEnds;
     private final Set<String> failedGangRuns = new HashSet<>();
     private final Map<String, Set<String>> failedAgentsByStep = new HashMap<>();
     private final Map<String, StepEstimateError> estimateErrors = new HashMap<>();
@@ -41,9 +43,10 @@
     /** The jobs whose tasks have changed since their progress was last queued for storage. */
     private final Set<WorkJob> changedJobs = new LinkedHashSet<>();
 
-    RunTracker(DispatchState state, OrderIssuer orderIssuer) {
+    RunTracker(DispatchState state, OrderIssuer orderIssuer, RunEndRecorder runEnds) {
         this.state = state;
         this.orderIssuer = orderIssuer;
+        this.runEnds = runEnds;
     }
 
     /**
@@ -226,20 +229,7 @@
     private void endRun(
             AgentView agent, AssignedRun run, RunEnd end, String checkpoint, EndEvidence evidence) {
         agent.runs().remove(run.task().toString());
-        EventLog.event("run-ended")
-                .field("task", run.task())
-                .field("run", run.number())
-                .field("agent", agent.name())
-                .field("boot", run.boot())
-                .field("end", end.text())
-                .field("seen", run.listed())
-                .field("evidence", evidence.text())
-                .field("report-age", state.monotonicMillis() - agent.lastReportMillis())
-                .field("reported", agent.boot())
-                .field("epoch", state.epoch())
-                .info();
-        state.metrics().count("tasks.ends." + end.text());
-        state.metrics().count("tasks.ends-by." + evidence.text());
+        runEnds.recordEnd(agent, run, end, checkpoint, evidence);
         WorkJob job = state.jobs().get(run.task().job());
         if (job == null || job.task(run.task()) == null) {
             return;
@@ -290,13 +280,14 @@
             }
         }
         // The other runs still hold their resources until the upstream lists their ends.
-        state.requestStops(gangRun -> doneTasks.contains(gangRun.task()));
+        state.requestStops(LossCause.SUPERSEDED, gangRun -> doneTasks.contains(gangRun.task()));
     }
 
     /** Requests the stop of the other runs of a gang, so that the gang can be restarted. */
     private void stopGang(WorkJob job, AssignedRun run) {
         Set<TaskKey> members = new HashSet<>(DispatchState.gangMembers(job, run.task()));
         state.requestStops(
+                LossCause.GANG_BROKEN,
                 other -> other.number() == run.number() && members.contains(other.task()));
     }
 
@@ -444,7 +435,7 @@
                 .info();
         state.metrics().count("tasks.jobs-" + phase.text());
         String jobId = job.submission().id();
-        state.requestStops(run -> run.task().job().equals(jobId));
+        state.requestStops(LossCause.CANCELLED, run -> run.task().job().equals(jobId));
         state.agents().values().forEach(orderIssuer::completeParkedIfDue);
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRunStopper.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRunStopper.java
@@ -1,6 +1,7 @@
 package org.fescueloom.daemon.dispatch;
 
-import java.util.HashSet;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.fleet.UpstreamState;
@@ -40,25 +41,29 @@
         this.state = state;
     }
 
-    /** Requests the stop of all stuck runs and of the other runs of their gangs. */
+    /**
+     * Requests the stop of all stuck runs and of the other runs of their gangs. The loss of a whole
+     * gang counts under the reason of the run that was found first.
+     */
     void stopStuckRuns(long now) {
-        Set<String> unitIds = new HashSet<>();
+        Map<String, StopReason> reasons = new HashMap<>();
         for (AgentView agent : state.agents().values()) {
             for (AssignedRun run : agent.runs().values()) {
-                String stopReason = stopReason(agent, run, now);
-                if (stopReason != null) {
-                    unitIds.add(state.gangOrTaskId(run.task()));
-                    recordStop(agent, run, stopReason, now);
+                StopReason reason = stopReason(agent, run, now);
+                if (reason != null) {
+                    reasons.putIfAbsent(state.gangOrTaskId(run.task()), reason);
+                    recordStop(agent, run, reason, now);
                 }
             }
         }
-        if (!unitIds.isEmpty()) {
-            state.requestStops(run -> unitIds.contains(state.gangOrTaskId(run.task())));
+        for (StopReason reason : Set.copyOf(reasons.values())) {
+            state.requestStops(
+                    reason.cause(), run -> reasons.get(state.gangOrTaskId(run.task())) == reason);
         }
     }
 
     /** Returns the reason to stop a run; null if there is none. */
-    private String stopReason(AgentView agent, AssignedRun run, long now) {
+    private StopReason stopReason(AgentView agent, AssignedRun run, long now) {
         WorkJob job = state.jobs().get(run.task().job());
         if (job == null || run.stopRequested() || !run.listed()) {
             return null;
@@ -70,12 +75,12 @@
         long elapsed = now - run.firstListedMillis();
         if (spec.checkpoints()) {
             if (now - run.lastProgressMillis() > NO_PROGRESS_MILLIS) {
-                return "no-progress";
+                return StopReason.NO_PROGRESS;
             }
         } else if (elapsed > overdueMillis(agent, spec) * run.number()) {
-            return "overdue";
+            return StopReason.OVERDUE;
         }
-        return upstreamLeavesTooSoon(agent, spec, elapsed, now) ? "upstream-leaves" : null;
+        return upstreamLeavesTooSoon(agent, spec, elapsed, now) ? StopReason.UPSTREAM_LEAVES : null;
     }
 
     /**
@@ -98,16 +103,16 @@
         return remainingMillis > leavesInMillis - LEAVE_MARGIN_MILLIS;
     }
 
-    private void recordStop(AgentView agent, AssignedRun run, String reason, long now) {
-        if (!reason.equals("upstream-leaves")) {
+    private void recordStop(AgentView agent, AssignedRun run, StopReason reason, long now) {
+        if (reason.stall()) {
             agent.health().recordStall(now);
         }
-        state.metrics().count("tasks.stopped." + reason);
+        state.metrics().count("tasks.stopped." + reason.text());
         EventLog.event("run-stopped")
                 .field("task", run.task())
                 .field("run", run.number())
                 .field("agent", agent.name())
-                .field("reason", reason)
+                .field("reason", reason.text())
                 .field("elapsed", now - run.firstListedMillis())
                 .field("epoch", state.epoch())
                 .info();
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherBed.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/DispatcherBed.java
@@ -34,7 +34,7 @@
 
     private final MemoryKeyedLog log = new MemoryKeyedLog();
     private final ManualScheduler loop = new ManualScheduler();
-    private final FleetView fleet =
+    private FleetView fleet =
             new FleetView(new FleetConfiguration(1, List.of(QUEUE), List.of()), Set.of(), 0);
 
     private final Metrics metrics = new Metrics();
@@ -49,6 +49,16 @@
         this.intakePartitions = intakePartitions;
     }
 
+    /** Configures a second queue, whose work preempts that of the queue "queue". */
+    void addUrgentQueue(String name) {
+        QueuePolicy urgent =
+                new QueuePolicy(
+                        name, "host", "/u/", "service", 0, MAX_FAILED_RUNS, 1.5, 0, false, false);
+        fleet =
+                new FleetView(
+                        new FleetConfiguration(1, List.of(QUEUE, urgent), List.of()), Set.of(), 0);
+    }
+
     MemoryKeyedLog log() {
         return log;
     }
