Place urgent gangs on upstreams of average speed at once

Cause: an urgent gang waited up to 1.5 s beside idle upstreams of average speed. Their speed had been learned some time ago, so that the bound of their slowness exceeded the bound of an upstream of unknown speed and the slack of the gang. After the wait it also stopped runs on the few upstreams that were left. A wide step of single tasks measured the speed of each upstream of the fleet, one task on each, and left none free as a whole. Change: an upstream is fast enough too if the unit is expected to end in time there. A unit that is late does not wait. The tasks of one unit measure at most 12 upstreams.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/CandidateFilter.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/CandidateFilter.java
@@ -40,16 +40,26 @@
      */
     private static final double UNKNOWN_SLOWNESS_BOUND = 1.5;
 
+    /**
+     * The part of the time that a unit has left which its run may use, as a divisor: run times on
+     * one upstream differ by about a tenth from their mean in the average case.
+     */
+    private static final double RUN_TIME_MARGIN = 1.1;
+
     /** Names the preferences, in the order in which they are given up. */
     private enum Preference {
         /**
-         * The upstream is fast enough for a unit with little slack. Such a unit waits a short time
-         * in any case, so that it does not stop runs on slow upstreams at once.
+         * The upstream is fast enough for a unit with little slack: its slowness is surely below
+         * the slack of the unit, or the unit is expected to end in time there. The second condition
+         * accepts upstreams of average speed also when their speed was learned long ago. Such a
+         * unit waits a short time in any case, so that it does not stop runs on slow upstreams at
+         * once; a unit that is late gains nothing by the wait.
          */
         FAST {
             @Override
             boolean applies(WaitingUnit unit) {
                 return unit.hasLittleSlack()
+                        && unit.prospect() == Prospect.IN_TIME
                         && unit.millisSinceReady() < FAST_UPSTREAM_WAIT_MILLIS
                         && !isOverdue(unit);
             }
@@ -57,7 +67,8 @@
             @Override
             boolean accepts(WaitingUnit unit, UpstreamCapacity upstream) {
                 return upstream.slownessUpperBound()
-                        <= Math.max(unit.slackFactor(), UNKNOWN_SLOWNESS_BOUND);
+                                <= Math.max(unit.slackFactor(), UNKNOWN_SLOWNESS_BOUND)
+                        || upstream.slowness() * RUN_TIME_MARGIN <= unit.tolerableSlowness();
             }
 
             @Override
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
@@ -41,6 +41,13 @@
      */
     private static final double SLOWNESS_WEIGHT = 100_000;
 
+    /**
+     * The maximum number of upstreams whose speed the tasks of one unit measure. Each of them is no
+     * longer free as a whole; a wide step that measured a fleet of sixty left no room for tasks
+     * that need a whole upstream.
+     */
+    static final int MAX_SPEED_SAMPLES = 12;
+
     /** A task is small if this many tasks of its size fit into an upstream. */
     private static final int SMALL_TASKS_PER_UPSTREAM = 4;
 
@@ -214,7 +221,9 @@
             preferenceByAgent.put(upstream.agent(), preference(unit, upstream));
         }
         Map<Integer, String> agentByTaskIndex = new LinkedHashMap<>();
+        int speedSamples = 0;
         for (int index : unit.taskIndexes()) {
+            boolean mayMeasure = speedSamples < MAX_SPEED_SAMPLES;
             Optional<UpstreamCapacity> best =
                     candidates.stream()
                             .filter(u -> need.fitsIn(remainingByAgent.get(u.agent())))
@@ -222,6 +231,7 @@
                             .min(
                                     byPreference(
                                             unit,
+                                            mayMeasure,
                                             preferenceByAgent,
                                             remainingByAgent,
                                             tasksPerAgent));
@@ -231,6 +241,7 @@
                 break;
             }
             String agent = best.get().agent();
+            speedSamples += samplesSpeed(unit, best.get(), tasksPerAgent) ? 1 : 0;
             agentByTaskIndex.put(index, agent);
             remainingByAgent.computeIfPresent(agent, (k, available) -> available.minus(need));
             tasksPerAgent.merge(agent, 1, Integer::sum);
@@ -255,10 +266,13 @@
      */
     private static Comparator<UpstreamCapacity> byPreference(
             WaitingUnit unit,
+            boolean mayMeasure,
             Map<String, Double> preferenceByAgent,
             Map<String, Resources> remainingByAgent,
             Map<String, Integer> tasksPerAgent) {
-        return Comparator.comparing((UpstreamCapacity u) -> !samplesSpeed(unit, u, tasksPerAgent))
+        return Comparator.comparing(
+                        (UpstreamCapacity u) ->
+                                !(mayMeasure && samplesSpeed(unit, u, tasksPerAgent)))
                 .thenComparingDouble(u -> preferenceByAgent.get(u.agent()))
                 .thenComparingLong(u -> remainingByAgent.get(u.agent()).accelerators())
                 .thenComparingLong(u -> remainingByAgent.get(u.agent()).cpuMillis())
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
@@ -89,6 +89,18 @@
         return slackFactor < LITTLE_SLACK_FACTOR;
     }
 
+    /**
+     * Returns the greatest slowness at which the tasks, if they started now, would still end within
+     * the run time that the slack factor allows.
+     *
+     * @return the slowness; not positive if the time has passed, and infinite without an estimate
+     */
+    public double tolerableSlowness() {
+        return spec.estimateMillis() == 0
+                ? Double.POSITIVE_INFINITY
+                : slackFactor - (double) millisSinceDue / spec.estimateMillis();
+    }
+
     /**
      * Returns the estimated work of the waiting tasks.
      *
