--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/AssignedRun.java
@@ -176,7 +176,8 @@
             return 0;
         }
         long since = spec.checkpoints() ? lastProgressMillis() : firstListedMillis;
-        return resources().cores() * Math.max(0, nowMillis - since) / MILLIS_PER_SECOND;
+        // The resources of stored jobs are not checked; an end must not fail because of them.
+        return Math.max(0, resources().cores() * (nowMillis - since) / MILLIS_PER_SECOND);
     }
 
     /** Tests whether an order for the run was sent within the last {@code millis} milliseconds. */
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LostWorkTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LostWorkTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.within;
 
 import java.util.List;
+import org.fescueloom.fleet.UpstreamState;
 import org.fescueloom.loss.LossCause;
 import org.fescueloom.work.Resources;
 import org.fescueloom.work.RunEnd;
@@ -113,6 +114,18 @@
             assertLostOnly(LossCause.OVERDUE, coreSeconds(1, listed, ended));
         }
 
+        @Test
+        void countsARunThatIsStoppedBeforeItsUpstreamLeaves() {
+            Dispatcher dispatcher = start(job(1, false, false));
+            long listed = bed.loop().nowMillis();
+            agent.exchange(dispatcher);
+            agent.state = UpstreamState.DRAINING;
+            exchangeUntilStopped(dispatcher);
+            long ended = endAll(dispatcher, RunEnd.STOPPED);
+
+            assertLostOnly(LossCause.UPSTREAM_LEAVING, coreSeconds(1, listed, ended));
+        }
+
         @Test
         void countsARunWhoseLeaseExpired() {
             Dispatcher dispatcher = start(job(1, false, false));
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/RunEndRecorderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/RunEndRecorderTest.java
@@ -11,7 +11,9 @@
 import org.fescueloom.daemon.metrics.Metrics;
 import org.fescueloom.fleet.FleetConfiguration;
 import org.fescueloom.loss.LossCause;
+import org.fescueloom.work.Resources;
 import org.fescueloom.work.RunEnd;
+import org.fescueloom.work.StepSpec;
 import org.fescueloom.work.Submission;
 import org.fescueloom.work.TaskKey;
 import org.fescueloom.work.WorkJob;
@@ -123,6 +125,17 @@
             assertThat(event(run, RunEnd.LAPSED)).contains(" cause=lease-expired lost=18");
         }
 
+        // Guards against a job with wrong resources whose ends fail before they are recorded.
+        @Test
+        void nameNoLossForNegativeResources() {
+            StepSpec step = JobSamples.step(1, new Resources(-1_000, 0, 0), 1_000, false, false);
+            AssignedRun run = new AssignedRun(new TaskKey("j", 0, 0, 0), 1, "boot", step, true);
+            run.markListed(loop.nowMillis());
+            loop.advance(2_000);
+
+            assertThat(event(run, RunEnd.FAILED)).contains(" cause=failed lost=0");
+        }
+
         // Guards against successful runs that look as if they had lost work.
         @Test
         void nameNeitherForARunThatIsDone() {
