Stop runs without progress by the configured checkpoint interval

Cause: a run with checkpoints was stopped after 4.5 s without a new one. That fits an interval of 1 s; with an interval of 2 s, a run away from its data, which takes three times as long, saves a checkpoint every 6 s, was stopped each time, and its upstream counted as suspect. Change: the limit is four intervals and half a second, which is 4.5 s for an interval of 1 s as before. Measured: NoProgressTest#allowsFourIntervalsBetweenCheckpoints failed before.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRunStopper.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRunStopper.java
@@ -24,10 +24,14 @@
     private static final long OVERDUE_MARGIN_MILLIS = 8_000;
 
     /**
-     * A run with checkpoints is stopped after this time without a new checkpoint. Such a run writes
-     * a checkpoint after each second of work, and may work at a quarter of full speed.
+     * A run with checkpoints is stopped once it has saved none for this many times the work between
+     * two checkpoints, plus {@link #POLL_MARGIN_MILLIS}: away from its data, or on a slow upstream,
+     * it may work at a quarter of full speed.
      */
-    private static final long NO_PROGRESS_MILLIS = 4_500;
+    private static final int NO_PROGRESS_INTERVALS = 4;
+
+    /** Agents observe the checkpoints of a run up to this time late. */
+    private static final long POLL_MARGIN_MILLIS = 500;
 
     /**
      * The time from a stop order until the upstream lists the end of the run. A run must be stopped
@@ -74,7 +78,7 @@
         }
         long elapsed = now - run.firstListedMillis();
         if (spec.checkpoints()) {
-            if (now - run.lastProgressMillis() > NO_PROGRESS_MILLIS) {
+            if (now - run.lastProgressMillis() > noProgressMillis()) {
                 return StopReason.NO_PROGRESS;
             }
         } else if (elapsed > overdueMillis(agent, spec) * run.number()) {
@@ -83,6 +87,11 @@
         return upstreamLeavesTooSoon(agent, spec, elapsed, now) ? StopReason.UPSTREAM_LEAVES : null;
     }
 
+    private long noProgressMillis() {
+        return NO_PROGRESS_INTERVALS * state.timings().checkpointIntervalMillis()
+                + POLL_MARGIN_MILLIS;
+    }
+
     /**
      * Returns the time limit of the first run of a task; each further run is allowed the same time
      * in addition.
