Learn run lengths from ended runs and decide by them

Cause: the estimates of callers are off by up to nine tenths, and three runs in a hundred take seven times as long as the others. Runs were stopped as overdue, jobs counted as late and upstreams were left by these estimates. Change: RunLengthLearner feeds the model of run lengths with ended and interrupted runs, divided by the slowness of the slowest upstream of the unit, and keeps it under l/lengths in the job log, at most every 5 s. With evidence of eight ends of the queue, the median replaces the estimate in the objective and the prospect of a job, a run is overdue only beyond the 0.99 quantile and if a new run is expected to end earlier, and a draining upstream is left by the remaining time. Without evidence, and with the setting run_lengths=estimates, all is decided as before.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/Dispatcher.java
@@ -65,6 +65,7 @@
     private final DispatchState state;
     private final OrderIssuer orderIssuer;
     private final RunEndRecorder runEnds;
+    private final RunLengthLearner runLengths;
     private final RunTracker runTracker;
     private final JobIntake intake;
     private final Set<String> storedCancellations;
@@ -137,9 +138,10 @@
                         metrics);
         orderIssuer = new OrderIssuer(state, entries);
         runEnds = new RunEndRecorder(state);
-        runTracker = new RunTracker(state, orderIssuer, runEnds);
+        runLengths = new RunLengthLearner(state, initialState.storedState().runLengths());
+        runTracker = new RunTracker(state, orderIssuer, runEnds, runLengths);
         intake = new JobIntake(state, runTracker, log, loop, this::requestScheduling);
-        stuckRunStopper = new StuckRunStopper(state);
+        stuckRunStopper = new StuckRunStopper(state, runLengths);
         storedCancellations = initialState.storedState().cancellations();
         state.restoreRuns();
         state.removeOldSpeeds();
@@ -294,6 +296,7 @@
         intake.removeProcessedIfDue(now);
         removeOldJobs();
         runEnds.takeLossEvent(now).ifPresent(EventLog::info);
+        runLengths.storeIfDue(now);
         scheduleTasks();
         state.writer().flush();
         state.agents().values().forEach(orderIssuer::completeParkedIfDue);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/JobStore.java
@@ -5,11 +5,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
 import org.fescueloom.daemon.logging.EventLog;
 import org.fescueloom.json.Json;
+import org.fescueloom.length.StoredRunLengths;
 import org.fescueloom.schedule.UpstreamSpeed;
 import org.fescueloom.work.JobPhase;
 import org.fescueloom.work.JobProgress;
@@ -37,6 +39,11 @@
     private static final String BLOCK_PREFIX = "b/";
     private static final String SPEED_PREFIX = "u/";
     private static final String CANCELLATION_PREFIX = "c/";
+    private static final String LEARNED_PREFIX = "l/";
+    private static final String LENGTHS_ID = "lengths";
+
+    /** The key of the learned run lengths. */
+    static final String RUN_LENGTHS_KEY = LEARNED_PREFIX + LENGTHS_ID;
 
     /** Has no content, but must not be empty, since an empty value is a tombstone. */
     private static final byte[] CANCELLATION_VALUE = "{}".getBytes(StandardCharsets.UTF_8);
@@ -95,6 +102,10 @@
         return Json.write(speed);
     }
 
+    static byte[] encode(StoredRunLengths lengths) {
+        return Json.write(lengths);
+    }
+
     /** Returns the key under which the cancellation of a job is kept that was not submitted yet. */
     static String cancellationKey(String jobId) {
         return CANCELLATION_PREFIX + jobId;
@@ -111,11 +122,13 @@
      * @param jobs the jobs, by ID
      * @param speeds the known speeds of upstreams, by agent
      * @param cancellations the IDs of jobs that were cancelled before they were submitted
+     * @param runLengths the learned run lengths; empty if there are none that can be read
      */
     record StoredState(
             Map<String, WorkJob> jobs,
             Map<String, UpstreamSpeed> speeds,
-            Set<String> cancellations) {}
+            Set<String> cancellations,
+            Optional<StoredRunLengths> runLengths) {}
 
     /**
      * Loads the content of the job log. Must be called by the holder of the claim, while no other
@@ -149,7 +162,13 @@
                         values,
                         SPEED_PREFIX,
                         (agent, value) -> Json.read(value, UpstreamSpeed.class)),
-                decodeAll(values, CANCELLATION_PREFIX, (id, value) -> id).keySet());
+                decodeAll(values, CANCELLATION_PREFIX, (id, value) -> id).keySet(),
+                Optional.ofNullable(
+                        decodeAll(
+                                        values,
+                                        LEARNED_PREFIX,
+                                        (id, value) -> Json.read(value, StoredRunLengths.class))
+                                .get(LENGTHS_ID)));
     }
 
     /**
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunTracker.java
@@ -15,6 +15,7 @@
 import org.fescueloom.loss.LossCause;
 import org.fescueloom.schedule.StepEstimateError;
 import org.fescueloom.work.JobPhase;
+import org.fescueloom.work.Placement;
 import org.fescueloom.work.RunEnd;
 import org.fescueloom.work.StepSpec;
 import org.fescueloom.work.TaskBlock;
@@ -38,15 +39,22 @@
     private final Set<String> failedGangRuns = new HashSet<>();
     private final Map<String, Set<String>> failedAgentsByStep = new HashMap<>();
     private final Map<String, StepEstimateError> estimateErrors = new HashMap<>();
-    private final WorkSeen workSeen = new WorkSeen();
+    private final RunLengthLearner runLengths;
+    private final WorkSeen workSeen;
 
     /** The jobs whose tasks have changed since their progress was last queued for storage. */
     private final Set<WorkJob> changedJobs = new LinkedHashSet<>();
 
-    RunTracker(DispatchState state, OrderIssuer orderIssuer, RunEndRecorder runEnds) {
+    RunTracker(
+            DispatchState state,
+            OrderIssuer orderIssuer,
+            RunEndRecorder runEnds,
+            RunLengthLearner runLengths) {
         this.state = state;
         this.orderIssuer = orderIssuer;
         this.runEnds = runEnds;
+        this.runLengths = runLengths;
+        this.workSeen = new WorkSeen(runLengths);
     }
 
     /**
@@ -310,6 +318,11 @@
                 && run.listed()
                 && isDurationComparable(agent, spec)) {
             double ratio = durationRatio(run, spec, now);
+            // The slowness that was known before this run explains its part of the run time.
+            runLengths.recordEnd(
+                    job.submission(),
+                    spec,
+                    (now - run.firstListedMillis()) / slownessOfGang(agent, run, job));
             agent.health()
                     .recordSuccess(
                             ratio, estimateError(run.task()), spec.gang() && spec.count() > 1, now);
@@ -318,8 +331,13 @@
             // Without a new checkpoint, a run may have waited for its gang or stood still.
             long workedUntil = spec.checkpoints() ? run.lastProgressMillis() : now;
             double slowness = Math.max(1.0, agent.health().slowness());
-            workSeen.recordInterruptedRun(
-                    run.task(), spec, (long) ((workedUntil - run.firstListedMillis()) / slowness));
+            double workedMillis = (workedUntil - run.firstListedMillis()) / slowness;
+            workSeen.recordInterruptedRun(run.task(), spec, (long) workedMillis);
+            if (runIsCurrent
+                    && run.startedWithoutCheckpoint()
+                    && isDurationComparable(agent, spec)) {
+                runLengths.recordUnfinished(job.submission(), spec, workedMillis);
+            }
         }
     }
 
@@ -385,6 +403,21 @@
         return Math.max(1.0, now - run.firstListedMillis()) / spec.estimateMillis();
     }
 
+    /**
+     * Returns the slowness of the slowest upstream of a gang, or of the upstream of a single task.
+     */
+    private double slownessOfGang(AgentView agent, AssignedRun run, WorkJob job) {
+        double slowest = agent.health().measuredSlowness();
+        for (TaskKey key : DispatchState.gangMembers(job, run.task())) {
+            Placement placement = job.task(key).placement();
+            AgentView member = placement == null ? null : state.agents().get(placement.agent());
+            if (member != null) {
+                slowest = Math.max(slowest, member.health().measuredSlowness());
+            }
+        }
+        return slowest;
+    }
+
     private StepEstimateError estimateError(TaskKey task) {
         return estimateErrors.computeIfAbsent(stepId(task), id -> new StepEstimateError());
     }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/SchedulerInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/SchedulerInput.java
@@ -216,7 +216,10 @@
                 queue.map(QueuePolicy::service).orElse(submission.service()),
                 submission.customer(),
                 priority(job),
-                Prospect.of(dueMillis, objectiveMillis, wallClockMillis + spec.estimateMillis()),
+                Prospect.of(
+                        dueMillis,
+                        objectiveMillis,
+                        wallClockMillis + workSeen.expectedMillis(submission, step, spec)),
                 objectiveMillis,
                 Math.max(0, wallClockMillis - dueMillis),
                 waitTimes.recordWait(submission.id(), waitingStep, monotonicMillis),
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRunStopper.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRunStopper.java
@@ -33,6 +33,13 @@
     /** Agents observe the checkpoints of a run up to this time late. */
     private static final long POLL_MARGIN_MILLIS = 500;
 
+    /**
+     * A run is overdue by its learned length only if fewer than one in a hundred runs of its kind
+     * take as long: three in a hundred take seven times as long as the others, and starting them
+     * again only takes longer.
+     */
+    private static final double LONGEST_PROBABILITY = 0.99;
+
     /**
      * The time from a stop order until the upstream lists the end of the run. A run must be stopped
      * at least this long before the upstream leaves.
@@ -40,9 +47,11 @@
     private static final long LEAVE_MARGIN_MILLIS = 500;
 
     private final DispatchState state;
+    private final RunLengthLearner runLengths;
 
-    StuckRunStopper(DispatchState state) {
+    StuckRunStopper(DispatchState state, RunLengthLearner runLengths) {
         this.state = state;
+        this.runLengths = runLengths;
     }
 
     /**
@@ -81,10 +90,13 @@
             if (now - run.lastProgressMillis() > noProgressMillis()) {
                 return StopReason.NO_PROGRESS;
             }
-        } else if (elapsed > overdueMillis(agent, spec) * run.number()) {
+        } else if (elapsed > overdueMillis(agent, spec) * run.number()
+                && newRunEndsEarlier(agent, job, spec, elapsed)) {
             return StopReason.OVERDUE;
         }
-        return upstreamLeavesTooSoon(agent, spec, elapsed, now) ? StopReason.UPSTREAM_LEAVES : null;
+        return upstreamLeavesTooSoon(agent, job, run, spec, now)
+                ? StopReason.UPSTREAM_LEAVES
+                : null;
     }
 
     private long noProgressMillis() {
@@ -92,6 +104,24 @@
                 + POLL_MARGIN_MILLIS;
     }
 
+    /**
+     * Tests whether, by the learned lengths, a new run of a task on an average upstream is expected
+     * to end before the present one. Without learned lengths the answer is always yes.
+     */
+    private boolean newRunEndsEarlier(
+            AgentView agent, WorkJob job, StepSpec spec, long elapsedMillis) {
+        double slowness = Math.max(1.0, agent.health().measuredSlowness());
+        double worked = elapsedMillis / slowness;
+        return runLengths
+                .forecast(job.submission(), spec)
+                .map(
+                        forecast ->
+                                worked > forecast.quantileMillis(LONGEST_PROBABILITY)
+                                        && slowness * forecast.meanRemainingMillis(worked)
+                                                > forecast.meanMillis())
+                .orElse(true);
+    }
+
     /**
      * Returns the time limit of the first run of a task; each further run is allowed the same time
      * in addition.
@@ -102,14 +132,26 @@
     }
 
     /** Tests whether a draining upstream leaves before, or too soon after, a run should end. */
-    private static boolean upstreamLeavesTooSoon(
-            AgentView agent, StepSpec spec, long elapsed, long now) {
+    private boolean upstreamLeavesTooSoon(
+            AgentView agent, WorkJob job, AssignedRun run, StepSpec spec, long now) {
         if (agent.notice() == null || agent.notice().state() != UpstreamState.DRAINING) {
             return false;
         }
         long leavesInMillis = agent.notice().leavesInMillis() - (now - agent.lastReportMillis());
-        double remainingMillis = spec.estimateMillis() * agent.health().slowness() - elapsed;
-        return remainingMillis > leavesInMillis - LEAVE_MARGIN_MILLIS;
+        return remainingMillis(agent, job, run, spec, now) > leavesInMillis - LEAVE_MARGIN_MILLIS;
+    }
+
+    /** Returns the expected remaining time of a run; it may be negative by an estimate. */
+    private double remainingMillis(
+            AgentView agent, WorkJob job, AssignedRun run, StepSpec spec, long now) {
+        long elapsed = now - run.firstListedMillis();
+        double slowness = agent.health().slowness();
+        return runLengths
+                .forecast(job.submission(), spec)
+                // The work that a checkpoint has saved is not known.
+                .filter(forecast -> run.startedWithoutCheckpoint())
+                .map(forecast -> slowness * forecast.remainingMillis(elapsed / slowness, 0.5))
+                .orElse(slowness * spec.estimateMillis() - elapsed);
     }
 
     private void recordStop(AgentView agent, AssignedRun run, StopReason reason, long now) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/WorkSeen.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/WorkSeen.java
@@ -15,6 +15,7 @@
     /** Estimates are too low by a factor of up to four; longer work had another cause. */
     private static final int MAX_ESTIMATE_FACTOR = 4;
 
+    private final RunLengthLearner runLengths;
     private final Map<String, Map<TaskKey, Long>> millisByJob = new HashMap<>();
 
     /** The longest work of a task by step, by job. */
@@ -23,6 +24,11 @@
     /** The critical paths that were computed since work was last recorded for their jobs. */
     private final Map<String, Long> criticalPaths = new HashMap<>();
 
+    /** Creates a record without runs; the expected lengths of other runs are learned ones. */
+    WorkSeen(RunLengthLearner runLengths) {
+        this.runLengths = runLengths;
+    }
+
     /**
      * Records a run that was interrupted. The work of earlier runs counts too if the step saves
      * checkpoints.
@@ -43,13 +49,13 @@
     }
 
     /**
-     * Returns the estimated run time of a step's tasks, in milliseconds; at least as long as a task
+     * Returns the expected run time of a step's tasks, in milliseconds; at least as long as a task
      * has worked.
      */
-    long estimateMillis(String job, int step, StepSpec spec) {
-        long estimate = spec.estimateMillis();
-        long seen = longestByJob.getOrDefault(job, Map.of()).getOrDefault(step, 0L);
-        return Math.max(estimate, Math.min(seen, MAX_ESTIMATE_FACTOR * estimate));
+    long expectedMillis(Submission submission, int step, StepSpec spec) {
+        long expected = runLengths.expectedMillis(submission, spec);
+        long seen = longestByJob.getOrDefault(submission.id(), Map.of()).getOrDefault(step, 0L);
+        return Math.max(expected, Math.min(seen, MAX_ESTIMATE_FACTOR * expected));
     }
 
     /** Returns the estimated run time of the critical path of a job, in milliseconds. */
@@ -62,7 +68,7 @@
         List<StepSpec> steps = submission.work().steps();
         return submission
                 .work()
-                .criticalPathMillis(i -> estimateMillis(submission.id(), i, steps.get(i)));
+                .criticalPathMillis(i -> expectedMillis(submission, i, steps.get(i)));
     }
 
     /** Removes what was recorded for a job. */
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/RunEndRecorderTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/RunEndRecorderTest.java
@@ -31,7 +31,7 @@
     private final DispatchState state =
             new DispatchState(
                     7,
-                    new JobStore.StoredState(jobs, new HashMap<>(), Set.of()),
+                    new JobStore.StoredState(jobs, new HashMap<>(), Set.of(), Optional.empty()),
                     TIMINGS,
                     () -> fleet,
                     loop.logServiceContact(),
