Choose the rack for an urgent gang by the loss of all its victims

Cause: running units were stopped in the order of their loss until some rack had room. A rack that needed ten units of 147 core-seconds went before one that needed a single unit of 160. Change: for a gang that should run in one rack, the victims of each rack are compared: first by the most urgent unit among them, then by the loss of all together. A gang that may not leave its rack is no longer searched room for in the whole fleet. Measured: two of the three tests of VictimSearchTest$Racks failed before.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/FitCounter.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/FitCounter.java
@@ -80,14 +80,13 @@
     }
 
     private void change(Map<String, Resources> resourcesByAgent, Change change) {
-        resourcesByAgent.forEach(
-                (agent, resources) -> {
-                    Upstream upstream = upstreamsByAgent.get(agent);
-                    if (upstream != null) {
-                        upstream.available = change.apply(upstream.available, resources);
-                        update(upstream);
-                    }
-                });
+        for (Map.Entry<String, Resources> entry : resourcesByAgent.entrySet()) {
+            Upstream upstream = upstreamsByAgent.get(entry.getKey());
+            if (upstream != null) {
+                upstream.available = change.apply(upstream.available, entry.getValue());
+                update(upstream);
+            }
+        }
     }
 
     private void update(Upstream upstream) {
@@ -112,11 +111,20 @@
             }
         }
         if (spec.gang() && spec.oneRack()) {
-            boolean fitsOneRack = fitsByRack.values().stream().anyMatch(fits -> fits >= tasks);
+            boolean fitsOneRack = fitsOneRack(tasks);
             if (fitsOneRack || waitsForRack) {
                 return fitsOneRack;
             }
         }
         return totalFits >= tasks;
     }
+
+    private boolean fitsOneRack(int tasks) {
+        for (int fits : fitsByRack.values()) {
+            if (fits >= tasks) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Function;
 import org.fescueloom.work.Resources;
 import org.fescueloom.work.StepSpec;
@@ -81,13 +82,43 @@
 
     /** Returns a counter of the tasks of a unit that fit into the promised capacity. */
     FitCounter promisedFits(WaitingUnit unit) {
+        return promisedFits(unit, filter(unit).candidates(null));
+    }
+
+    /** Returns a counter as {@link #promisedFits} for each rack, by the name of the rack. */
+    Map<String, FitCounter> promisedFitsByRack(WaitingUnit unit) {
+        // The order of the racks must not depend on the order in which upstreams were heard.
+        Map<String, List<UpstreamCapacity>> candidatesByRack = new TreeMap<>();
+        for (UpstreamCapacity upstream : filter(unit).candidates(null)) {
+            candidatesByRack
+                    .computeIfAbsent(upstream.rack(), rack -> new ArrayList<>())
+                    .add(upstream);
+        }
+        Map<String, FitCounter> countersByRack = new LinkedHashMap<>();
+        candidatesByRack.forEach(
+                (rack, candidates) -> countersByRack.put(rack, promisedFits(unit, candidates)));
+        return countersByRack;
+    }
+
+    private FitCounter promisedFits(WaitingUnit unit, List<UpstreamCapacity> candidates) {
         return new FitCounter(
                 unit,
                 waitsForRack(unit),
-                filter(unit).candidates(null),
+                candidates,
                 agent -> ledger.capacity(agent, CapacityLedger.CapacityKind.PROMISED));
     }
 
+    /** Tells whether a unit is a gang that may only be placed in one rack yet. */
+    boolean mustFitOneRack(WaitingUnit unit) {
+        return unit.spec().gang() && unit.spec().oneRack() && waitsForRack(unit);
+    }
+
+    /** Returns the rack of the upstream of an agent; empty if the agent is unknown. */
+    String rackOf(String agent) {
+        UpstreamCapacity upstream = ledger.upstream(agent);
+        return upstream == null ? "" : upstream.rack();
+    }
+
     /** Tells whether all tasks of the unit of a counter fit, by the rules of this placer. */
     boolean allFit(FitCounter counter) {
         return counter.allFit(ledger.racks());
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/VictimSearchTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/VictimSearchTest.java
@@ -129,6 +129,75 @@
         }
     }
 
+    /** An urgent gang meets racks that are full of work of different cost. */
+    @Nested
+    @Group
+    class Racks {
+        private static final int PER_RACK = 2;
+
+        private final WaitingUnit gang = urgentUnit("j", WorkSamples.gang(PER_RACK, NODE), 0);
+        private final List<UpstreamCapacity> upstreams =
+                IntStream.range(0, 2 * PER_RACK).mapToObj(i -> upstream(i, PER_RACK, 0)).toList();
+
+        private RunningUnit gangOn(String id, int priority, double loss, String... agents) {
+            Map<String, Resources> resources = new HashMap<>();
+            for (String agent : agents) {
+                resources.put(agent, NODE);
+            }
+            return new RunningUnit(id, "c", priority, true, resources, loss);
+        }
+
+        private List<String> stops(List<RunningUnit> running) {
+            return TaskScheduler.plan(List.of(gang), running, upstreams).stops().stream()
+                    .map(RunningUnit::id)
+                    .toList();
+        }
+
+        // Guards against many victims of little loss each that lose more than one other victim.
+        @Test
+        void areChosenByTheLossOfAllVictimsTogether() {
+            List<RunningUnit> running = new ArrayList<>();
+            for (int slot = 0; slot < PER_RACK * SLOTS; slot++) {
+                running.add(running("t" + slot, "u" + slot / SLOTS, 10));
+            }
+            running.add(gangOn("g", 2, 12, "u2", "u3"));
+
+            assertThat(stops(running)).containsExactly("g");
+        }
+
+        // Guards against the stop of a more urgent unit because it loses less.
+        @Test
+        void areChosenByPriorityBeforeLoss() {
+            List<RunningUnit> running =
+                    List.of(
+                            gangOn("less-urgent", 2, 1_000, "u0", "u1"),
+                            gangOn("more-urgent", 1, 1, "u2", "u3"));
+
+            assertThat(stops(running)).containsExactly("less-urgent");
+        }
+
+        /** Compares with the least loss of all sets of victims in one rack. */
+        @Property(tries = 300, seed = "67")
+        void loseNoMoreThanTheVictimsOfAnyOtherRack(@ForAll long seed) {
+            Random random = new Random(seed);
+            List<RunningUnit> running = new ArrayList<>();
+            double[] lossByRack = new double[2];
+            for (int i = 0; i < 2 * PER_RACK; i++) {
+                for (int slot = 0; slot < SLOTS; slot++) {
+                    double loss = random.nextInt(20);
+                    lossByRack[i / PER_RACK] += loss;
+                    running.add(running("t" + i + '.' + slot, "u" + i, loss));
+                }
+            }
+
+            double lost =
+                    TaskScheduler.plan(List.of(gang), running, upstreams).stops().stream()
+                            .mapToDouble(RunningUnit::lostCoreSeconds)
+                            .sum();
+            assertThat(lost).isEqualTo(Math.min(lossByRack[0], lossByRack[1]));
+        }
+    }
+
     /** A burst of urgent gangs meets a fleet that small tasks keep full. */
     @Nested
     class BurstOnAFullFleet {
