Bound what the clients of a process hold together

Clients that pipeline requests and read no responses used up the direct memory of an entry or agent: each connection read into buffers of up to 64 KiB from a pool of 16 MiB, and a connection that had stopped reading did not notice that its client was gone. Each of the 4 servers of an entry had limits of its own, and heads and pending messages were not counted.

- Read into heap buffers of 4 KiB.
- Share budgets of connections, heads, bodies and unsent responses among the servers of a process, with a part reserved for each server.
- Close a connection with more than 32 pending requests.
- Close the connection that has waited longest for its client, at least 1 s, when connections or bytes are used up.
- Apply the receive time-out from the first byte of a head; check once a second whether the client of a connection that does not read is gone.
- Count each limit as limits.LIMIT and log it at most once in 5 s.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
@@ -1,33 +1,25 @@
 package org.fescueloom.daemon.http;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.fescueloom.failure.FailureBody;
+import java.util.function.Function;
 import org.fescueloom.failure.FailureType;
-import org.fescueloom.failure.SchedulerException;
-import org.fescueloom.json.Json;
-import org.tinylog.Logger;
 
 /**
  * Enforces the limits of a server on one connection.
@@ -54,10 +46,16 @@
     /** The time between two checks of the time limits. */
     private static final long CHECK_INTERVAL_MILLIS = 1_000;
 
-    private static final byte[] NO_BODY = new byte[0];
+    /**
+     * The maximum number of pending messages for each request that may be pending. A request in one
+     * read of the connection has fewer parts, unless its chunks are very short.
+     */
+    private static final int MESSAGES_PER_PENDING_REQUEST = 8;
 
     private final ServerLoad load;
     private final int maxBodyBytes;
+    private final HeadReservation heads;
+    private final RequestBody body;
 
     /**
      * The messages of further requests, which wait until the current request and its response are
@@ -67,7 +65,10 @@
 
     private final List<Runnable> disconnectTasks = new ArrayList<>();
     private ScheduledFuture<?> timeoutCheck;
-    private Stage stage = Stage.IDLE;
+    private volatile Channel channel;
+    private volatile Stage stage = Stage.IDLE;
+    private volatile boolean closing;
+    private int pendingRequests;
 
     /** Whether no further part of a request is expected; true while no request is in progress. */
     private boolean requestComplete = true;
@@ -75,28 +76,30 @@
     /** Whether no response is still to be sent; true while no request is in progress. */
     private boolean responseComplete = true;
 
-    private long stageSinceNanos = System.nanoTime();
+    private volatile long stageSinceNanos = System.nanoTime();
     private HttpRequest requestHead;
 
-    /** The buffer of the body, which may be longer than the body. */
-    private byte[] body = NO_BODY;
-
-    /** The number of bytes of the body that have arrived. */
-    private int bodyBytes;
-
-    /** Whether the current body exceeds the limit, so that the rest of it is discarded. */
-    private boolean bodyTooLong;
+    /** Whether the body of the current request was discarded for lack of budget. */
+    private boolean bodyDiscarded;
 
     /** The stages that a connection passes through with each request. */
     private enum Stage {
         /** No request is in progress. */
-        IDLE,
+        IDLE(ServerLimit.IDLE_TIME, ServerLimits::idleTimeout),
         /** A request is arriving. */
-        RECEIVING,
+        RECEIVING(ServerLimit.RECEIVE_TIME, ServerLimits::receiveTimeout),
         /** An {@link HttpHandler} is handling the request. */
-        WORKING,
+        WORKING(null, null),
         /** The response is being sent. */
-        SENDING
+        SENDING(ServerLimit.SEND_TIME, ServerLimits::sendTimeout);
+
+        private final ServerLimit limit;
+        private final Function<ServerLimits, Duration> timeout;
+
+        Stage(ServerLimit limit, Function<ServerLimits, Duration> timeout) {
+            this.limit = limit;
+            this.timeout = timeout;
+        }
     }
 
     /**
@@ -108,6 +111,8 @@
     ConnectionGuard(ServerLoad load, int maxBodyBytes) {
         this.load = load;
         this.maxBodyBytes = maxBodyBytes;
+        heads = new HeadReservation(load.headBytes());
+        body = new RequestBody(load.bodyBytes(), maxBodyBytes);
     }
 
     /**
@@ -129,17 +134,58 @@
         disconnectTasks.add(task);
     }
 
+    /** Returns whether the connection belongs to a server. */
+    boolean isOf(ServerLoad server) {
+        return load == server;
+    }
+
+    /** Returns the bytes that are reserved for the body of the current request. */
+    long reservedBodyBytes() {
+        return body.reservedBytes();
+    }
+
+    /** Returns whether a response is being sent. */
+    boolean isSending() {
+        return stage == Stage.SENDING;
+    }
+
+    /** Returns whether a request is arriving or a response is being sent. */
+    boolean isWithinRequest() {
+        return stage == Stage.RECEIVING || stage == Stage.SENDING;
+    }
+
+    /** Returns how long the server has waited for this client; -1 if it does not wait for it. */
+    long waitedNanos(long nowNanos) {
+        boolean waits = !closing && channel != null && stage != Stage.WORKING;
+        return waits ? nowNanos - stageSinceNanos : -1;
+    }
+
+    /**
+     * Closes the connection because its place or its bytes are needed for another one; may be
+     * called by any thread.
+     *
+     * @return false if the connection is being closed already
+     */
+    boolean closeInFavourOfAnother() {
+        if (closing) {
+            return false;
+        }
+        closing = true;
+        channel.close();
+        return true;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) throws Exception {
-        if (!load.connectionOpened()) {
-            Logger.warn("event=connection-refused reason=too-many");
-            context.close();
+        channel = context.channel();
+        if (!load.connectionOpened(this)) {
+            closeAtLimit(context, ServerLimit.CONNECTIONS);
             return;
         }
         timeoutCheck =
                 context.executor()
                         .scheduleAtFixedRate(
-                                () -> closeIfTimedOut(context),
+                                () -> check(context),
                                 CHECK_INTERVAL_MILLIS,
                                 CHECK_INTERVAL_MILLIS,
                                 TimeUnit.MILLISECONDS);
@@ -148,11 +194,13 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
-        load.connectionClosed();
+        closing = true;
+        load.connectionClosed(this);
         if (timeoutCheck != null) {
             timeoutCheck.cancel(false);
         }
         releaseAll();
+        heads.releaseAll();
         if (!responseComplete) {
             disconnectTasks.forEach(Runnable::run);
         }
@@ -160,18 +208,68 @@
         super.channelInactive(context);
     }
 
+    /** Reports a limit that this client has reached, and closes the connection. */
+    private void closeAtLimit(ChannelHandlerContext context, ServerLimit limit) {
+        load.budgets().report().reached(limit, context.channel().remoteAddress());
+        closing = true;
+        context.close();
+    }
+
+    /**
+     * Counts received bytes before they are decoded.
+     *
+     * @param context the context of this handler, not null
+     * @param bytes the number of bytes
+     * @return false if the bytes must be discarded, because the connection is being closed
+     */
+    boolean receiveBytes(ChannelHandlerContext context, int bytes) {
+        if (closing) {
+            return false;
+        }
+        if (stage == Stage.IDLE) {
+            enterStage(Stage.RECEIVING);
+        }
+        if (heads.receive(bytes)) {
+            return true;
+        }
+        if (load.closeAnother(this, other -> true)) {
+            load.budgets().report().reached(ServerLimit.HEAD_BYTES, null);
+            return true;
+        }
+        closeAtLimit(context, ServerLimit.HEAD_BYTES);
+        return false;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        heads.markDecoded();
+        if (closing) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
         boolean startsRequest = message instanceof HttpRequest;
         if (!pendingMessages.isEmpty() || startsRequest && !(requestComplete && responseComplete)) {
-            pendingMessages.addLast(message);
-            // The connection stops reading, which limits the number of pending messages.
-            context.channel().config().setAutoRead(false);
+            addPending(context, message);
             return;
         }
         process(context, message);
     }
 
+    private void addPending(ChannelHandlerContext context, Object message) {
+        pendingMessages.addLast(message);
+        if (message instanceof HttpRequest) {
+            pendingRequests++;
+        }
+        // The connection stops reading, which limits the number of pending messages.
+        context.channel().config().setAutoRead(false);
+        int maxRequests = load.limits().maxPipelinedRequests();
+        if (pendingRequests > maxRequests
+                || pendingMessages.size() > maxRequests * MESSAGES_PER_PENDING_REQUEST) {
+            releaseAll();
+            closeAtLimit(context, ServerLimit.PIPELINED_REQUESTS);
+        }
+    }
+
     /** Processes a message and releases its buffer. */
     private void process(ChannelHandlerContext context, Object message) throws Exception {
         try {
@@ -199,7 +297,7 @@
             super.channelRead(context, LastHttpContent.EMPTY_LAST_CONTENT);
         } finally {
             CURRENT.remove();
-            body = NO_BODY;
+            body.clear();
             requestHead = null;
         }
     }
@@ -210,16 +308,39 @@
      * @return the complete body, never null
      */
     byte[] body() {
-        return body.length == bodyBytes ? body : Arrays.copyOf(body, bodyBytes);
+        return body.bytes();
+    }
+
+    /**
+     * Returns whether the body of the request that is being handled was discarded, because too many
+     * bytes of bodies are in progress.
+     *
+     * @return whether the body was discarded
+     */
+    boolean isBodyDiscarded() {
+        return bodyDiscarded;
+    }
+
+    /**
+     * Returns the maximum number of values in a JSON body.
+     *
+     * @return the number
+     */
+    int maxJsonValues() {
+        return load.limits().maxJsonValues();
+    }
+
+    /** Counts and logs a body with too many JSON values. */
+    void reportJsonValues() {
+        load.budgets().report().reached(ServerLimit.JSON_VALUES, channel.remoteAddress());
     }
 
     /** Frees the body and the pending messages. */
     private void releaseAll() {
-        load.addBufferedBytes(-bodyBytes);
-        bodyBytes = 0;
-        body = NO_BODY;
+        body.release();
         pendingMessages.forEach(ReferenceCountUtil::release);
         pendingMessages.clear();
+        pendingRequests = 0;
     }
 
     private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
@@ -232,9 +353,13 @@
         }
         requestComplete = false;
         responseComplete = false;
-        bodyTooLong = false;
         disconnectTasks.clear();
         requestHead = request;
+        heads.beginRequest();
+        bodyDiscarded = !body.begin(request);
+        if (bodyDiscarded) {
+            load.bodyRefused(this, context.channel().remoteAddress());
+        }
         enterStage(Stage.RECEIVING);
     }
 
@@ -243,87 +368,36 @@
         if (requestComplete) {
             return;
         }
-        int bytes = content.content().readableBytes();
-        if (bodyTooLong || bodyBytes + bytes > maxBodyBytes) {
-            discardContent(context, content);
+        heads.removeBodyBytes(content.content().readableBytes());
+        body.append(content.content());
+        if (!(content instanceof LastHttpContent)) {
             return;
         }
-        // The part is appended before the limit of the server is checked: addBufferedBytes() counts
-        // the part, and refuse() subtracts bodyBytes, which must include the part.
-        appendToBody(content.content(), bytes);
-        if (!load.addBufferedBytes(bytes)) {
-            refuse(
-                    context,
-                    FailureType.OVERLOADED,
-                    "the server has "
-                            + load.bufferedBytes()
-                            + " bytes buffered; the limit is "
-                            + load.limits().maxBufferedBytes());
-            return;
-        }
-        if (content instanceof LastHttpContent) {
-            requestComplete = true;
-            enterStage(Stage.WORKING);
-            load.addBufferedBytes(-bodyBytes);
-            deliverRequest(context);
-            // body() needs bodyBytes during the delivery.
-            bodyBytes = 0;
-            processPending(context);
-        }
-    }
-
-    /**
-     * Discards a part of a body that is too long, and refuses the request after the last part. If
-     * the connection were closed while the caller still sends the body, the caller might not
-     * receive the refusal.
-     */
-    private void discardContent(ChannelHandlerContext context, HttpContent content) {
-        bodyTooLong = true;
-        load.addBufferedBytes(-bodyBytes);
-        bodyBytes = 0;
-        body = NO_BODY;
-        if (content instanceof LastHttpContent) {
+        // If the connection were closed while the caller still sends a body that is too long, the
+        // caller might not receive the refusal. Therefore the rest of the body is read first.
+        if (body.isTooLong()) {
             refuse(
                     context,
                     FailureType.BODY_TOO_LARGE,
                     "the body is longer than the limit of " + maxBodyBytes + " bytes");
+            return;
         }
-    }
-
-    private void appendToBody(ByteBuf part, int bytes) {
-        int neededLength = bodyBytes + bytes;
-        if (neededLength > body.length) {
-            // If the length is declared, the buffer gets this length at once. Otherwise the buffer
-            // doubles, so that it is seldom copied. No body is longer than maxBodyBytes.
-            long declared = HttpUtil.getContentLength(requestHead, 0L);
-            long newLength = Math.max(declared, Math.max(neededLength, 2L * body.length));
-            body = Arrays.copyOf(body, (int) Math.min(maxBodyBytes, newLength));
-        }
-        part.readBytes(body, bodyBytes, bytes);
-        bodyBytes = neededLength;
+        requestComplete = true;
+        enterStage(Stage.WORKING);
+        deliverRequest(context);
+        processPending(context);
     }
 
     /** Sends a failure and closes the connection. */
     private void refuse(ChannelHandlerContext context, FailureType type, String detail) {
-        byte[] responseBody = Json.write(FailureBody.of(new SchedulerException(type, detail)));
-        DefaultFullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(type.status()),
-                        Unpooled.wrappedBuffer(responseBody));
-        response.headers()
-                .set(HttpHeaderNames.CONTENT_TYPE, HttpServerResponse.JSON)
-                .setInt(HttpHeaderNames.CONTENT_LENGTH, responseBody.length)
-                .set(HttpHeaderNames.CONNECTION, "close");
-        if (type.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
-            // The unit of the header is seconds.
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, "1");
-        }
         releaseAll();
         // The rest of the request is ignored.
         requestComplete = true;
+        closing = true;
+        enterStage(Stage.SENDING);
         context.channel().config().setAutoRead(false);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(Refusal.response(type, detail))
+                .addListener(ChannelFutureListener.CLOSE);
     }
 
     @Override
@@ -335,14 +409,20 @@
         }
         int bytes = content.content().readableBytes();
         boolean isLastPart = message instanceof LastHttpContent;
-        load.addBufferedBytes(bytes);
+        if (!load.reserveResponse(this, bytes)) {
+            ReferenceCountUtil.release(message);
+            promise.tryFailure(new ClosedChannelException());
+            closeAtLimit(context, ServerLimit.RESPONSE_BYTES);
+            return;
+        }
         enterStage(Stage.SENDING);
         ChannelPromise writePromise = promise.unvoid();
         writePromise.addListener(
                 written -> {
-                    load.addBufferedBytes(-bytes);
+                    load.responseBytes().release(bytes);
                     if (isLastPart) {
                         responseComplete = true;
+                        body.release();
                         disconnectTasks.clear();
                         // A response can be complete before its request.
                         enterStage(requestComplete ? Stage.IDLE : Stage.RECEIVING);
@@ -367,13 +447,17 @@
             }
             processFirstPending(context);
         }
-        if (!context.channel().config().isAutoRead()) {
+        if (!closing && !context.channel().config().isAutoRead()) {
             context.channel().config().setAutoRead(true);
         }
     }
 
     private void processFirstPending(ChannelHandlerContext context) throws Exception {
-        process(context, pendingMessages.removeFirst());
+        Object message = pendingMessages.removeFirst();
+        if (message instanceof HttpRequest) {
+            pendingRequests--;
+        }
+        process(context, message);
         context.fireChannelReadComplete();
     }
 
@@ -384,19 +468,19 @@
         }
     }
 
-    /** Closes the connection if the current stage has lasted longer than its limit. */
-    private void closeIfTimedOut(ChannelHandlerContext context) {
-        Duration limit =
-                switch (stage) {
-                    case IDLE -> load.limits().idleTimeout();
-                    case RECEIVING -> load.limits().receiveTimeout();
-                    case SENDING -> load.limits().sendTimeout();
-                    // The handling of a request has no limit here.
-                    case WORKING -> null;
-                };
-        if (limit != null && System.nanoTime() - stageSinceNanos > limit.toNanos()) {
-            Logger.debug("event=connection-closed reason=slow stage={}", stage);
-            context.close();
+    /**
+     * Closes the connection if the current stage has lasted longer than its limit. While the
+     * connection has stopped reading, reads one buffer, because otherwise nothing would show that
+     * the client has closed the connection.
+     */
+    private void check(ChannelHandlerContext context) {
+        // The handling of a request has no limit here.
+        if (stage.limit != null
+                && System.nanoTime() - stageSinceNanos
+                        > stage.timeout.apply(load.limits()).toNanos()) {
+            closeAtLimit(context, stage.limit);
+        } else if (!context.channel().config().isAutoRead()) {
+            context.read();
         }
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/GuardedNettyServer.java
@@ -5,10 +5,14 @@
 import io.jooby.ServerOptions;
 import io.jooby.internal.netty.NettyHandler;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.PreferHeapByteBufAllocator;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -42,8 +46,14 @@
     /** The maximum time that the shutdown of an event loop group takes. */
     private static final long SHUTDOWN_TIMEOUT_MILLIS = 2_000;
 
+    /**
+     * Allocates buffers on the heap, where the budgets bound them. Pooled direct buffers of many
+     * connections exceeded the direct memory of the process, and then no connection could read.
+     */
+    private static final ByteBufAllocator HEAP_ALLOCATOR =
+            new PreferHeapByteBufAllocator(new UnpooledByteBufAllocator(false, true));
+
     private final ServerLoad load;
-    private final BodyBudget budget;
     private final ListeningSocket listeningSocket;
     private final List<Jooby> applications = new ArrayList<>();
     private ServerOptions options = new ServerOptions();
@@ -56,15 +66,12 @@
      * Creates a server; {@link #start} begins to accept connections.
      *
      * @param load counts the connections and the buffered bytes, not null
-     * @param budget limits the bodies of requests in progress, not null
      * @param port the port to listen on; 0 selects any free port
      * @param listeningSocket a socket that already listens and that the server takes over; null to
      *     open a socket at the start
      */
-    GuardedNettyServer(
-            ServerLoad load, BodyBudget budget, int port, ListeningSocket listeningSocket) {
+    GuardedNettyServer(ServerLoad load, int port, ListeningSocket listeningSocket) {
         this.load = load;
-        this.budget = budget;
         this.port = port;
         this.listeningSocket = listeningSocket;
     }
@@ -118,6 +125,10 @@
                         .option(ChannelOption.SO_BACKLOG, ListeningSocket.BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.ALLOCATOR, HEAP_ALLOCATOR)
+                        .childOption(
+                                ChannelOption.RCVBUF_ALLOCATOR,
+                                new FixedRecvByteBufAllocator(load.limits().receiveBufferBytes()))
                         .childHandler(new PipelineInitializer(application, dataFactory));
         ChannelFuture listening =
                 listeningSocket == null
@@ -161,14 +172,15 @@
 
         @Override
         protected void initChannel(SocketChannel channel) {
+            ConnectionGuard guard = new ConnectionGuard(load, options.getMaxRequestSize());
             channel.pipeline()
+                    .addLast("received", new ReceivedBytesHandler(guard))
                     .addLast(
                             "codec",
                             new HttpServerCodec(
                                     MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                     .addLast("expect-continue", new HttpServerExpectContinueHandler())
-                    .addLast("budget", new BodyBudgetHandler(budget, options.getMaxRequestSize()))
-                    .addLast("guard", new ConnectionGuard(load, options.getMaxRequestSize()))
+                    .addLast("guard", guard)
                     .addLast(
                             "handler",
                             new NettyHandler(
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpCall.java
@@ -7,6 +7,7 @@
 import org.fescueloom.failure.FailureType;
 import org.fescueloom.failure.SchedulerException;
 import org.fescueloom.json.Json;
+import org.fescueloom.json.JsonValueCount;
 
 /** Gives a handler typed access to one HTTP request. */
 public final class HttpCall {
@@ -102,6 +103,24 @@
         return body;
     }
 
+    /**
+     * Returns the complete body if it does not have more JSON values than the limit. A tree of more
+     * values could exceed the memory of the process.
+     *
+     * @return the bytes, which need not be valid JSON, never null
+     * @throws SchedulerException with type {@code BODY_TOO_LARGE} if the body has too many values
+     */
+    public byte[] jsonBody() {
+        int maxValues = guard.maxJsonValues();
+        if (JsonValueCount.exceeds(body, maxValues)) {
+            guard.reportJsonValues();
+            throw new SchedulerException(
+                    FailureType.BODY_TOO_LARGE,
+                    "the body has more than " + maxValues + " JSON values");
+        }
+        return body;
+    }
+
     /**
      * Parses the body, a JSON value written by a person or a caller; unknown fields are refused.
      *
@@ -111,7 +130,7 @@
      * @throws SchedulerException with type {@code MALFORMED_INPUT} if the body is no such value
      */
     public <T> T readStrict(Class<T> type) {
-        return Json.readStrict(body, type);
+        return Json.readStrict(jsonBody(), type);
     }
 
     /**
@@ -123,7 +142,7 @@
      * @throws SchedulerException with type {@code MALFORMED_INPUT} if the body is no such value
      */
     public <T> T read(Class<T> type) {
-        return Json.read(body, type);
+        return Json.read(jsonBody(), type);
     }
 
     private static Optional<String> toOptional(Value value) {
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -29,8 +29,8 @@
     /** The time after which callers refused for lack of budget are told to retry. */
     private static final long RETRY_AFTER_MILLIS = 200;
 
-    /** The maximum number of bytes of request bodies in progress; further bodies are refused. */
-    private static final long BODY_BUDGET_BYTES = 12L << 20;
+    /** Reserves all of the budgets for the only server that uses them. */
+    private static final double WHOLE = 1.0;
 
     private final Jooby app = new Jooby();
     private final ServerOptions options = new ServerOptions();
@@ -59,7 +59,13 @@
      * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
      */
     public HttpServer(String host, int port, int maxBodyBytes, ServerLimits limits) {
-        this(Objects.requireNonNull(host, "host"), port, maxBodyBytes, limits, null);
+        this(
+                Objects.requireNonNull(host, "host"),
+                port,
+                maxBodyBytes,
+                ownBudgets(limits),
+                WHOLE,
+                null);
     }
 
     /**
@@ -71,18 +77,66 @@
      * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
      */
     public HttpServer(ListeningSocket socket, int maxBodyBytes) {
-        this(socket.host(), socket.port(), maxBodyBytes, ServerLimits.DEFAULT, socket);
+        this(socket, maxBodyBytes, ownBudgets(ServerLimits.DEFAULT), WHOLE);
+    }
+
+    /**
+     * Creates a server that shares budgets with the other servers of the process.
+     *
+     * @param host the IP address to listen on, not null
+     * @param port the port to listen on; 0 selects any free port
+     * @param maxBodyBytes the maximum length of a request body, in bytes
+     * @param budgets the budgets of the process, not null
+     * @param reservedFraction the fraction of each budget that only this server can use, 0 to 1
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive, or if more than the
+     *     whole of a budget would be reserved
+     */
+    public HttpServer(
+            String host,
+            int port,
+            int maxBodyBytes,
+            ServerBudgets budgets,
+            double reservedFraction) {
+        this(
+                Objects.requireNonNull(host, "host"),
+                port,
+                maxBodyBytes,
+                budgets,
+                reservedFraction,
+                null);
+    }
+
+    /**
+     * Creates a server on a socket that already listens, which shares budgets with the other
+     * servers of the process.
+     *
+     * @param socket the socket, not null
+     * @param maxBodyBytes the maximum length of a request body, in bytes
+     * @param budgets the budgets of the process, not null
+     * @param reservedFraction the fraction of each budget that only this server can use, 0 to 1
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive, or if more than the
+     *     whole of a budget would be reserved
+     */
+    public HttpServer(
+            ListeningSocket socket,
+            int maxBodyBytes,
+            ServerBudgets budgets,
+            double reservedFraction) {
+        this(socket.host(), socket.port(), maxBodyBytes, budgets, reservedFraction, socket);
     }
 
     private HttpServer(
-            String host, int port, int maxBodyBytes, ServerLimits limits, ListeningSocket socket) {
+            String host,
+            int port,
+            int maxBodyBytes,
+            ServerBudgets budgets,
+            double reservedFraction,
+            ListeningSocket socket) {
         if (maxBodyBytes <= 0) {
             throw new IllegalArgumentException("maxBodyBytes is not positive: " + maxBodyBytes);
         }
         System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false");
         System.setProperty(NO_NATIVE_TRANSPORT_PROPERTY, "true");
-        // A single body of the maximum length must fit.
-        BodyBudget budget = new BodyBudget(Math.max(BODY_BUDGET_BYTES, maxBodyBytes));
         options.setHost(host);
         options.setIoThreads(IO_THREADS);
         options.setWorkerThreads(WORKER_THREADS);
@@ -90,7 +144,11 @@
         options.setDefaultHeaders(false);
         app.setExecutionMode(ExecutionMode.EVENT_LOOP);
         app.error(HttpServer::sendError);
-        server = new GuardedNettyServer(new ServerLoad(limits), budget, port, socket);
+        server = new GuardedNettyServer(budgets.load(reservedFraction), port, socket);
+    }
+
+    private static ServerBudgets ownBudgets(ServerLimits limits) {
+        return new ServerBudgets(limits, counter -> {});
     }
 
     /**
@@ -131,7 +189,7 @@
     private static Object handle(Context context, HttpHandler handler) {
         CompletableFuture<HttpServerResponse> future;
         try {
-            requireBodyNotDiscarded(context);
+            requireBodyNotDiscarded();
             future = handler.handle(new HttpCall(context));
         } catch (RuntimeException e) {
             future = CompletableFuture.failedFuture(e);
@@ -140,8 +198,8 @@
         return context;
     }
 
-    private static void requireBodyNotDiscarded(Context context) {
-        if (!context.header(BodyBudgetHandler.BODY_DISCARDED_HEADER).isMissing()) {
+    private static void requireBodyNotDiscarded() {
+        if (ConnectionGuard.current().isBodyDiscarded()) {
             throw new SchedulerException(
                     FailureType.OVERLOADED,
                     "too many bytes of request bodies in progress",
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ServerLoad.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ServerLoad.java
@@ -1,72 +1,98 @@
 package org.fescueloom.daemon.http;
 
+import java.net.SocketAddress;
 import java.util.Objects;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 
-/** Counts the connections and buffered bytes of a server. Safe for use by several threads. */
-final class ServerLoad {
-    private final ServerLimits limits;
-    private final AtomicInteger connections = new AtomicInteger();
-    private final AtomicLong bufferedBytes = new AtomicLong();
-
-    /**
-     * Creates the counters of a server without connections.
-     *
-     * @param limits the limits, not null
-     */
-    ServerLoad(ServerLimits limits) {
-        this.limits = Objects.requireNonNull(limits, "limits");
+/**
+ * Counts the connections and bytes of a server against its shares of the budgets of the process.
+ *
+ * @param budgets the budgets of the process, not null
+ * @param connections the open connections, not null
+ * @param headBytes the bytes of request heads and of undecoded input, not null
+ * @param bodyBytes the bytes of request bodies, not null
+ * @param responseBytes the bytes of unsent responses, not null
+ */
+record ServerLoad(
+        ServerBudgets budgets,
+        SharedBudget.Share connections,
+        SharedBudget.Share headBytes,
+        SharedBudget.Share bodyBytes,
+        SharedBudget.Share responseBytes) {
+    ServerLoad {
+        Objects.requireNonNull(budgets, "budgets");
+        Objects.requireNonNull(connections, "connections");
+        Objects.requireNonNull(headBytes, "headBytes");
+        Objects.requireNonNull(bodyBytes, "bodyBytes");
+        Objects.requireNonNull(responseBytes, "responseBytes");
     }
 
-    /**
-     * Returns the limits.
-     *
-     * @return the limits, never null
-     */
     ServerLimits limits() {
-        return limits;
+        return budgets.limits();
     }
 
     /**
-     * Counts an opened connection, also if it exceeds the limit.
+     * Counts an opened connection. If the budget is used up, closes the connection that has waited
+     * longest for its client instead of the new one.
      *
-     * @return false if more connections are open than the limit allows
+     * @param connection the new connection, not null
+     * @return false if the connection must be closed; it is counted also in this case
      */
-    boolean connectionOpened() {
-        return connections.incrementAndGet() <= limits.maxConnections();
-    }
-
-    /** Removes a closed connection from the count. */
-    void connectionClosed() {
-        connections.decrementAndGet();
+    boolean connectionOpened(ConnectionGuard connection) {
+        boolean accepted = connections.tryAcquire(1);
+        if (!accepted) {
+            connections.acquire(1);
+            accepted = closeAnother(connection, other -> true);
+            if (accepted) {
+                budgets.report().reached(ServerLimit.CONNECTIONS, null);
+            }
+        }
+        budgets.opened(connection);
+        return accepted;
     }
 
     /**
-     * Adds to the number of buffered bytes.
+     * Closes the connection of this server that has waited longest for its client.
      *
-     * @param bytes the number to add; negative for bytes that are no longer buffered
-     * @return false if more bytes are buffered than the limit allows
+     * @param connection the connection that needs what the other one holds, not null
+     * @param candidate selects the connections that may be closed, not null
+     * @return whether a connection is being closed
      */
-    boolean addBufferedBytes(long bytes) {
-        return bufferedBytes.addAndGet(bytes) <= limits.maxBufferedBytes();
+    boolean closeAnother(ConnectionGuard connection, Predicate<ConnectionGuard> candidate) {
+        return budgets.closeLongestWaiting(
+                other -> other != connection && other.isOf(this) && candidate.test(other));
     }
 
     /**
-     * Returns the number of open connections.
-     *
-     * @return the number
+     * Reports a body that was refused for lack of budget, and closes a connection that holds a part
+     * of the budget and waits for its client, so that a retry of the caller can succeed.
      */
-    int connections() {
-        return connections.get();
+    void bodyRefused(ConnectionGuard connection, SocketAddress client) {
+        budgets.report().reached(ServerLimit.BODY_BYTES, client);
+        closeAnother(connection, other -> other.reservedBodyBytes() > 0);
     }
 
     /**
-     * Returns the number of buffered bytes.
+     * Reserves the bytes of a part of a response. If the budget has too little left, the connection
+     * that has waited longest for its client is closed. A response that is alone is always sent.
      *
-     * @return the number
+     * @return false if the response must not be sent; nothing is reserved in this case
      */
-    long bufferedBytes() {
-        return bufferedBytes.get();
+    boolean reserveResponse(ConnectionGuard connection, int bytes) {
+        if (responseBytes.tryAcquire(bytes)) {
+            return true;
+        }
+        boolean sends =
+                responseBytes.inUse() == 0 || closeAnother(connection, ConnectionGuard::isSending);
+        if (sends) {
+            responseBytes.acquire(bytes);
+        }
+        return sends;
+    }
+
+    /** Removes a closed connection from the count. */
+    void connectionClosed(ConnectionGuard connection) {
+        budgets.closed(connection);
+        connections.release(1);
     }
 }
