Keep the limits of a daemon apart from those of an entry

The smaller budget of unsent responses, 8 MiB, fits the heap of 96 MiB of an entry on the platform. A daemon serves bodies up to 4 MiB, of which two slow readers would use it up. ServerLimits.DEFAULT has 1,024 connections and 32 MiB again, and ServerLimits.ENTRY holds the values of an entry. A server whose longest body exceeds the budget of bodies cannot be created; before, the budget grew to fit.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/HttpServer.java
@@ -43,7 +43,8 @@
      * @param host the IP address to listen on, not null
      * @param port the port to listen on; 0 selects any free port
      * @param maxBodyBytes the maximum length of a request body, in bytes; bodies stay in memory
-     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive or exceeds the
+     *     budget
      */
     public HttpServer(String host, int port, int maxBodyBytes) {
         this(host, port, maxBodyBytes, ServerLimits.DEFAULT);
@@ -56,7 +57,8 @@
      * @param port the port to listen on; 0 selects any free port
      * @param maxBodyBytes the maximum length of a request body, in bytes
      * @param limits limits the connections and the buffered bytes, not null
-     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive or exceeds the
+     *     budget
      */
     public HttpServer(String host, int port, int maxBodyBytes, ServerLimits limits) {
         this(
@@ -74,7 +76,8 @@
      *
      * @param socket the socket, not null
      * @param maxBodyBytes the maximum length of a request body, in bytes
-     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive or exceeds the
+     *     budget
      */
     public HttpServer(ListeningSocket socket, int maxBodyBytes) {
         this(socket, maxBodyBytes, ownBudgets(ServerLimits.DEFAULT), WHOLE);
@@ -88,8 +91,8 @@
      * @param maxBodyBytes the maximum length of a request body, in bytes
      * @param budgets the budgets of the process, not null
      * @param reservedFraction the fraction of each budget that only this server can use, 0 to 1
-     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive, or if more than the
-     *     whole of a budget would be reserved
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive or exceeds the
+     *     budget, or if more than the whole of a budget would be reserved
      */
     public HttpServer(
             String host,
@@ -114,8 +117,8 @@
      * @param maxBodyBytes the maximum length of a request body, in bytes
      * @param budgets the budgets of the process, not null
      * @param reservedFraction the fraction of each budget that only this server can use, 0 to 1
-     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive, or if more than the
-     *     whole of a budget would be reserved
+     * @throws IllegalArgumentException if {@code maxBodyBytes} is not positive or exceeds the
+     *     budget, or if more than the whole of a budget would be reserved
      */
     public HttpServer(
             ListeningSocket socket,
@@ -135,6 +138,13 @@
         if (maxBodyBytes <= 0) {
             throw new IllegalArgumentException("maxBodyBytes is not positive: " + maxBodyBytes);
         }
+        if (maxBodyBytes > budgets.limits().maxBodyBytes()) {
+            throw new IllegalArgumentException(
+                    "a body of "
+                            + maxBodyBytes
+                            + " bytes does not fit in the budget of "
+                            + budgets.limits().maxBodyBytes());
+        }
         System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false");
         System.setProperty(NO_NATIVE_TRANSPORT_PROPERTY, "true");
         options.setHost(host);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ServerLimits.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ServerLimits.java
@@ -37,12 +37,6 @@
         Duration minWaitToClose) {
     private static final int MIB = 1 << 20;
 
-    /** 1,024 connections of callers, 2 of each of 620 agents, and some for the other servers. */
-    private static final int MAX_CONNECTIONS = 2_700;
-
-    /** An entry has a heap of 96 MiB, of which the three budgets of bytes take at most 28 MiB. */
-    private static final long MAX_RESPONSE_BYTES = 8L * MIB;
-
     private static final long MAX_HEAD_BYTES = 8L * MIB;
     private static final long MAX_BODY_BYTES = 12L * MIB;
 
@@ -59,14 +53,17 @@
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(90);
     private static final Duration MIN_WAIT_TO_CLOSE = Duration.ofSeconds(1);
 
-    /** The limits of an entry or a daemon. */
+    /** The limits of a daemon. */
     public static final ServerLimits DEFAULT =
-            new ServerLimits(
-                    MAX_CONNECTIONS,
-                    MAX_RESPONSE_BYTES,
-                    RECEIVE_TIMEOUT,
-                    SEND_TIMEOUT,
-                    IDLE_TIMEOUT);
+            new ServerLimits(1_024, 32L * MIB, RECEIVE_TIMEOUT, SEND_TIMEOUT, IDLE_TIMEOUT);
+
+    /**
+     * The limits of an entry on the platform: 1,024 connections of callers, 2 of each of 620
+     * agents, and some for the other servers. Of its heap of 96 MiB, the three budgets of bytes
+     * take at most 28 MiB.
+     */
+    public static final ServerLimits ENTRY =
+            new ServerLimits(2_700, 8L * MIB, RECEIVE_TIMEOUT, SEND_TIMEOUT, IDLE_TIMEOUT);
 
     /** The limits of an agent, which has a heap of 64 MiB and few callers. */
     public static final ServerLimits AGENT =
