--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/CandidateFilter.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/CandidateFilter.java
@@ -41,19 +41,19 @@
     private static final double UNKNOWN_SLOWNESS_BOUND = 1.5;
 
     /**
-     * The part of the time that a unit has left which its run may use, as a divisor: run times on
-     * one upstream differ by about a tenth from their mean in the average case.
+     * The factor by which a run may exceed its expected time and still end in time. About half of
+     * the ratio between two slowness classes, below which upstreams count as equally fast.
      */
     private static final double RUN_TIME_MARGIN = 1.1;
 
     /** Names the preferences, in the order in which they are given up. */
     private enum Preference {
         /**
-         * The upstream is fast enough for a unit with little slack: its slowness is surely below
-         * the slack of the unit, or the unit is expected to end in time there. The second condition
-         * accepts upstreams of average speed also when their speed was learned long ago. Such a
-         * unit waits a short time in any case, so that it does not stop runs on slow upstreams at
-         * once; a unit that is late gains nothing by the wait.
+         * The upstream is fast enough for a unit with little slack: the bound of its slowness is
+         * within the slack of the unit, or the unit is expected to end in time there. The second
+         * condition also accepts upstreams of average speed that were measured long ago, whose
+         * bound is wide. Such a unit waits a short time in any case, so that it does not stop runs
+         * on slow upstreams at once. A unit that is already late does not wait.
          */
         FAST {
             @Override
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunLengthLearner.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/RunLengthLearner.java
@@ -1,5 +1,6 @@
 package org.fescueloom.daemon.dispatch;
 
+import com.codahale.metrics.Gauge;
 import java.util.Objects;
 import java.util.Optional;
 import org.fescueloom.daemon.logging.EventLog;
@@ -19,7 +20,9 @@
  */
 final class RunLengthLearner {
     /** The minimum time between two records of the run lengths. */
-    static final long STORE_INTERVAL_MILLIS = 5_000;
+    private static final long STORE_INTERVAL_MILLIS = 5_000;
+
+    private static final double MEDIAN = 0.5;
 
     private final DispatchState state;
     private final RunLengthModel model;
@@ -68,8 +71,7 @@
                 () -> model.calibration().shareByNineTenths());
     }
 
-    private static void showGauge(
-            Metrics metrics, String name, com.codahale.metrics.Gauge<?> gauge) {
+    private static void showGauge(Metrics metrics, String name, Gauge<?> gauge) {
         metrics.registry().remove(name);
         metrics.registry().gauge(name, () -> gauge);
     }
@@ -125,7 +127,7 @@
      */
     long expectedMillis(Submission submission, StepSpec spec) {
         return forecast(submission, spec)
-                .map(forecast -> (long) forecast.quantileMillis(0.5))
+                .map(forecast -> (long) forecast.quantileMillis(MEDIAN))
                 .orElse(spec.estimateMillis());
     }
 
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRunStopper.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/StuckRunStopper.java
@@ -40,6 +40,8 @@
      */
     private static final double LONGEST_PROBABILITY = 0.99;
 
+    private static final double MEDIAN = 0.5;
+
     /**
      * The time from a stop order until the upstream lists the end of the run. A run must be stopped
      * at least this long before the upstream leaves.
@@ -150,7 +152,7 @@
                 .forecast(job.submission(), spec)
                 // The work that a checkpoint has saved is not known.
                 .filter(forecast -> run.startedWithoutCheckpoint())
-                .map(forecast -> slowness * forecast.remainingMillis(elapsed / slowness, 0.5))
+                .map(forecast -> slowness * forecast.remainingMillis(elapsed / slowness, MEDIAN))
                 .orElse(slowness * spec.estimateMillis() - elapsed);
     }
 
