Name the closed client in the report of a limit

When a connection was closed in favour of another one, the log line had no address. Report the address of the connection that is closed.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ConnectionGuard.java
@@ -164,13 +164,15 @@
      * Closes the connection because its place or its bytes are needed for another one; may be
      * called by any thread.
      *
+     * @param limit the limit that was reached, for the report, not null
      * @return false if the connection is being closed already
      */
-    boolean closeInFavourOfAnother() {
+    boolean closeInFavourOfAnother(ServerLimit limit) {
         if (closing) {
             return false;
         }
         closing = true;
+        load.budgets().report().reached(limit, channel.remoteAddress());
         channel.close();
         return true;
     }
@@ -232,8 +234,7 @@
         if (heads.receive(bytes)) {
             return true;
         }
-        if (load.closeAnother(this, other -> true)) {
-            load.budgets().report().reached(ServerLimit.HEAD_BYTES, null);
+        if (load.closeAnother(ServerLimit.HEAD_BYTES, this, other -> true)) {
             return true;
         }
         closeAtLimit(context, ServerLimit.HEAD_BYTES);
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ServerBudgets.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ServerBudgets.java
@@ -73,10 +73,11 @@
      * least the minimum. A connection in the middle of a request or response is closed before one
      * that is between two requests.
      *
+     * @param limit the limit that was reached, for the report, not null
      * @param candidate selects the connections that may be closed, not null
      * @return whether a connection is being closed
      */
-    boolean closeLongestWaiting(Predicate<ConnectionGuard> candidate) {
+    boolean closeLongestWaiting(ServerLimit limit, Predicate<ConnectionGuard> candidate) {
         long nowNanos = System.nanoTime();
         long minNanos = limits.minWaitToClose().toNanos();
         return openConnections.stream()
@@ -85,7 +86,7 @@
                 .max(
                         Comparator.comparing(ConnectionGuard::isWithinRequest)
                                 .thenComparing(connection -> connection.waitedNanos(nowNanos)))
-                .map(ConnectionGuard::closeInFavourOfAnother)
+                .map(connection -> connection.closeInFavourOfAnother(limit))
                 .orElse(false);
     }
 }
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ServerLoad.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/http/ServerLoad.java
@@ -42,10 +42,7 @@
         boolean accepted = connections.tryAcquire(1);
         if (!accepted) {
             connections.acquire(1);
-            accepted = closeAnother(connection, other -> true);
-            if (accepted) {
-                budgets.report().reached(ServerLimit.CONNECTIONS, null);
-            }
+            accepted = closeAnother(ServerLimit.CONNECTIONS, connection, other -> true);
         }
         budgets.opened(connection);
         return accepted;
@@ -54,13 +51,15 @@
     /**
      * Closes the connection of this server that has waited longest for its client.
      *
+     * @param limit the limit that was reached, not null
      * @param connection the connection that needs what the other one holds, not null
      * @param candidate selects the connections that may be closed, not null
      * @return whether a connection is being closed
      */
-    boolean closeAnother(ConnectionGuard connection, Predicate<ConnectionGuard> candidate) {
+    boolean closeAnother(
+            ServerLimit limit, ConnectionGuard connection, Predicate<ConnectionGuard> candidate) {
         return budgets.closeLongestWaiting(
-                other -> other != connection && other.isOf(this) && candidate.test(other));
+                limit, other -> other != connection && other.isOf(this) && candidate.test(other));
     }
 
     /**
@@ -69,7 +68,7 @@
      */
     void bodyRefused(ConnectionGuard connection, SocketAddress client) {
         budgets.report().reached(ServerLimit.BODY_BYTES, client);
-        closeAnother(connection, other -> other.reservedBodyBytes() > 0);
+        closeAnother(ServerLimit.BODY_BYTES, connection, other -> other.reservedBodyBytes() > 0);
     }
 
     /**
@@ -83,7 +82,9 @@
             return true;
         }
         boolean sends =
-                responseBytes.inUse() == 0 || closeAnother(connection, ConnectionGuard::isSending);
+                responseBytes.inUse() == 0
+                        || closeAnother(
+                                ServerLimit.RESPONSE_BYTES, connection, ConnectionGuard::isSending);
         if (sends) {
             responseBytes.acquire(bytes);
         }
