--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
@@ -47,7 +47,7 @@
      * longer free as a whole; a wide step that measured a fleet of sixty left no room for tasks
      * that need a whole upstream.
      */
-    static final int MAX_SPEED_SAMPLES = 12;
+    private static final int MAX_SPEED_SAMPLES = 12;
 
     /** A task is small if this many tasks of its size fit into an upstream. */
     private static final int SMALL_TASKS_PER_UPSTREAM = 4;
--- a/fescueloom-core/src/test/java/org/fescueloom/schedule/UrgentPlacementTest.java
+++ b/fescueloom-core/src/test/java/org/fescueloom/schedule/UrgentPlacementTest.java
@@ -6,6 +6,8 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Group;
 import net.jqwik.api.Property;
@@ -126,6 +128,56 @@
         }
     }
 
+    /** A wide step of small tasks comes first to a fleet of unknown speeds. */
+    @Nested
+    @Group
+    class WideStepsOnAnUnknownFleet {
+        private static final int UPSTREAMS = 58;
+        private static final int RACK_SIZE = 7;
+
+        private List<UpstreamCapacity> fleet() {
+            return IntStream.range(0, UPSTREAMS)
+                    .mapToObj(
+                            i ->
+                                    new UpstreamCapacity(
+                                            "u%02d".formatted(i),
+                                            "s",
+                                            "r" + i / RACK_SIZE,
+                                            Set.of(),
+                                            NODE,
+                                            NODE,
+                                            NODE,
+                                            1.0,
+                                            OLD_UNCERTAINTY,
+                                            true,
+                                            false))
+                    .toList();
+        }
+
+        // Guards against a step of 56 tasks that puts one on each upstream to measure its speed,
+        // so that no rack has room for an urgent gang of tasks that need whole upstreams.
+        @Test
+        void leaveRoomForGangsThatNeedWholeUpstreams() {
+            WaitingUnit wide = unitWithSlack("wide", 2, WorkSamples.step(56, SLOT));
+
+            SchedulePlan plan = plan(wide, fleet());
+            Set<String> used = Set.copyOf(plan.starts().get(0).agents().values());
+            assertThat(plan.starts().get(0).agents()).hasSize(56);
+            List<UpstreamCapacity> left =
+                    fleet().stream().filter(u -> !used.contains(u.agent())).toList();
+            StepSpec gang = WorkSamples.gang(5, NODE);
+            assertThat(plan(urgentUnit("j", gang), left).starts()).hasSize(1);
+        }
+
+        @Property(seed = "67", tries = 100)
+        void measureNoMoreUpstreamsThanTheLimit(@ForAll @IntRange(min = 1, max = 90) int tasks) {
+            WaitingUnit wide = unitWithSlack("wide", 2, WorkSamples.step(tasks, SLOT));
+
+            assertThat(plan(wide, fleet()).starts().get(0).agents().values().stream().distinct())
+                    .hasSizeLessThanOrEqualTo(12);
+        }
+    }
+
     @Nested
     @Group
     class UnitsWithSlack {
