Judge an interrupted job by its estimate again, as before run lengths

A long job counted as hopeless earlier and lost its place. Change: the prospect takes the learned median, or the estimate; only the objective takes the work seen.

--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/SchedulerInput.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/SchedulerInput.java
@@ -219,7 +219,7 @@
                 Prospect.of(
                         dueMillis,
                         objectiveMillis,
-                        wallClockMillis + workSeen.expectedMillis(submission, step, spec)),
+                        wallClockMillis + workSeen.expectedRunMillis(submission, spec)),
                 objectiveMillis,
                 Math.max(0, wallClockMillis - dueMillis),
                 waitTimes.recordWait(submission.id(), waitingStep, monotonicMillis),
--- a/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/WorkSeen.java
+++ b/fescueloom-daemon/src/main/java/org/fescueloom/daemon/dispatch/WorkSeen.java
@@ -48,12 +48,17 @@
         criticalPaths.remove(task.job());
     }
 
+    /** Returns the expected length of a new run of a step, in milliseconds. */
+    long expectedRunMillis(Submission submission, StepSpec spec) {
+        return runLengths.expectedMillis(submission, spec);
+    }
+
     /**
-     * Returns the expected run time of a step's tasks, in milliseconds; at least as long as a task
-     * has worked.
+     * Returns the expected work of a step's tasks, in milliseconds; at least as long as a task has
+     * worked.
      */
-    long expectedMillis(Submission submission, int step, StepSpec spec) {
-        long expected = runLengths.expectedMillis(submission, spec);
+    private long expectedWorkMillis(Submission submission, int step, StepSpec spec) {
+        long expected = expectedRunMillis(submission, spec);
         long seen = longestByJob.getOrDefault(submission.id(), Map.of()).getOrDefault(step, 0L);
         return Math.max(expected, Math.min(seen, MAX_ESTIMATE_FACTOR * expected));
     }
@@ -68,7 +73,7 @@
         List<StepSpec> steps = submission.work().steps();
         return submission
                 .work()
-                .criticalPathMillis(i -> expectedMillis(submission, i, steps.get(i)));
+                .criticalPathMillis(i -> expectedWorkMillis(submission, i, steps.get(i)));
     }
 
     /** Removes what was recorded for a job. */
--- a/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LowEstimateTest.java
+++ b/fescueloom-daemon/src/test/java/org/fescueloom/daemon/dispatch/LowEstimateTest.java
@@ -48,6 +48,24 @@
                 .containsExactly("long.0.0.0");
     }
 
+    // Guards against an interrupted job that counts as hopeless by the work that it has shown: a
+    // new run goes on from its checkpoint, and is judged by the estimate.
+    @Test
+    void anInterruptedLongJobGoesBeforeALaterOneLongAfterItsObjective() {
+        Dispatcher dispatcher = bed.claim();
+        agent.accelerators = 1;
+        agent.exchange(dispatcher);
+        bed.submit(dispatcher, acceptedNow("long"));
+        exchangeFor(dispatcher, 28_000);
+        bed.submit(dispatcher, acceptedNow("short"));
+        exchangeFor(dispatcher, 7_000);
+        agent.restartUpstream();
+
+        assertThat(agent.exchange(dispatcher).starts())
+                .extracting(StartOrder::task)
+                .containsExactly("long.0.0.0");
+    }
+
     @Test
     void timeWithoutACheckpointIsNotCountedAsWork() {
         Dispatcher dispatcher = bed.claim();
