Bound speed samples by the size of the fleet, and trust no upstream without an estimate

Cause: at most 12 samples a unit fits fleets of some sixty upstreams; a fleet of 300 would learn its speeds too slowly. A unit without an estimate counted each upstream as fast enough. Change: a fifth of the upstreams, and 12 in any fleet, which is the same limit up to 64 upstreams. Without an estimate only the bound of the slowness counts.

--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/CandidateFilter.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/CandidateFilter.java
@@ -41,8 +41,8 @@
     private static final double UNKNOWN_SLOWNESS_BOUND = 1.5;
 
     /**
-     * The factor by which a run may exceed its expected time and still end in time. About half of
-     * the ratio between two slowness classes, below which upstreams count as equally fast.
+     * A unit counts as in time on an upstream if it would still be after this many times its
+     * expected run time. Run times on upstreams of one slowness class differ as much.
      */
     private static final double RUN_TIME_MARGIN = 1.1;
 
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/UnitPlacer.java
@@ -43,11 +43,14 @@
     private static final double SLOWNESS_WEIGHT = 100_000;
 
     /**
-     * The maximum number of upstreams whose speed the tasks of one unit measure. Each of them is no
-     * longer free as a whole; a wide step that measured a fleet of sixty left no room for tasks
-     * that need a whole upstream.
+     * The part of the upstreams whose speed the tasks of one unit measure in a round, as a divisor.
+     * A measured upstream is no longer free as a whole. A wide step that measured all upstreams
+     * left no room for tasks that need a whole one.
      */
-    private static final int MAX_SPEED_SAMPLES = 12;
+    private static final int SPEED_SAMPLE_DIVISOR = 5;
+
+    /** The number of upstreams that a unit may measure in a fleet of any size. */
+    private static final int MIN_SPEED_SAMPLES = 12;
 
     /** A task is small if this many tasks of its size fit into an upstream. */
     private static final int SMALL_TASKS_PER_UPSTREAM = 4;
@@ -252,9 +255,10 @@
             preferenceByAgent.put(upstream.agent(), preference(unit, upstream));
         }
         Map<Integer, String> agentByTaskIndex = new LinkedHashMap<>();
+        int maxSpeedSamples = Math.max(MIN_SPEED_SAMPLES, candidates.size() / SPEED_SAMPLE_DIVISOR);
         int speedSamples = 0;
         for (int index : unit.taskIndexes()) {
-            boolean mayMeasure = speedSamples < MAX_SPEED_SAMPLES;
+            boolean mayMeasure = speedSamples < maxSpeedSamples;
             Optional<UpstreamCapacity> best =
                     candidates.stream()
                             .filter(u -> need.fitsIn(remainingByAgent.get(u.agent())))
--- a/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
+++ b/fescueloom-core/src/main/java/org/fescueloom/schedule/WaitingUnit.java
@@ -93,11 +93,12 @@
      * Returns the greatest slowness at which the tasks, if they started now, would still end within
      * the run time that the slack factor allows.
      *
-     * @return the slowness; not positive if the time has passed, and infinite without an estimate
+     * @return the slowness; not positive if the time has passed, and 0 without an estimate, by
+     *     which no run time is known to be allowed
      */
     public double tolerableSlowness() {
         return spec.estimateMillis() == 0
-                ? Double.POSITIVE_INFINITY
+                ? 0
                 : slackFactor - (double) millisSinceDue / spec.estimateMillis();
     }
 
